--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+BIN := .venv/bin
+export PYTHONDONTWRITEBYTECODE := 1
+
+.PHONY: install demo test check format format-check lint typecheck generate generate-check clean
+
+# The stamp is renewed whenever a pinned version changes.
+.venv/stamp: requirements.lock pyproject.toml
+	$(PYTHON) -m venv .venv
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --editable .
+	touch .venv/stamp
+
+install: .venv/stamp
+
+generate: install
+	$(BIN)/python tools/generate.py
+
+generate-check: install
+	$(BIN)/python tools/generate.py
+	git diff --exit-code -- mangotrail
+
+format: install
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
+
+format-check: install
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+
+lint: install
+	$(BIN)/flake8 mangotrail tests tools examples benchmarks
+
+typecheck: install
+	$(BIN)/mypy
+
+check: format-check lint typecheck generate-check
+
+test: install
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks, kept apart from the tests."""
--- /dev/null
+++ b/examples/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for endpoints, for the demo and the tests."""
--- /dev/null
+++ b/mangotrail/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduler for multi-accelerator jobs under client account guarantees."""
--- /dev/null
+++ b/mangotrail/errors.py
@@ -0,0 +1,208 @@
+"""Every failure that mangotrail reports, each with its own type."""
+
+from http import HTTPStatus
+from typing import ClassVar
+
+from mangotrail._messages import Failure
+
+
+class MangotrailError(Exception):
+    """A failure that names the field at fault and what to do about it.
+
+    :param message: one sentence for a person.
+    :param field: name of the field at fault, empty if there is none.
+    :param value: the rejected value, shortened to 200 characters.
+    :param allowed: the allowed range or form of the field.
+    :param remedy: what the receiver of the error can do.
+    """
+
+    code: ClassVar[str] = 'internal_error'
+    status: ClassVar[HTTPStatus] = HTTPStatus.INTERNAL_SERVER_ERROR
+    # True only where the error proves that no part of the request ran.
+    not_run: ClassVar[bool] = False
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        field: str = '',
+        value: object = '',
+        allowed: str = '',
+        remedy: str = '',
+    ) -> None:
+        super().__init__(message)
+        self.message = message
+        self.field = field
+        self.value = str(value)[:200]
+        self.allowed = allowed
+        self.remedy = remedy
+
+    def to_failure(self) -> Failure:
+        """Return the message that carries this error to a caller."""
+        return Failure(
+            code=self.code,
+            message=self.message,
+            field_name=self.field,
+            value=self.value,
+            allowed=self.allowed,
+            remedy=self.remedy,
+            not_run=self.not_run,
+            status=int(self.status),
+        )
+
+
+class InvalidInputError(MangotrailError):
+    """Input is malformed, out of range or too large."""
+
+    code = 'invalid_input'
+    status = HTTPStatus.BAD_REQUEST
+    not_run = True
+
+
+class SettingsError(InvalidInputError):
+    """Settings or credentials cannot be used."""
+
+    code = 'invalid_settings'
+
+
+class InvalidBundleError(InvalidInputError):
+    """A bundle contradicts itself or its guarantees cannot all be placed."""
+
+    code = 'invalid_bundle'
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+
+
+class PayloadTooLargeError(InvalidInputError):
+    """A body or payload is over its limit."""
+
+    code = 'too_large'
+    status = HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+
+
+class UnauthorizedError(MangotrailError):
+    """The credential is missing or unknown."""
+
+    code = 'unauthorized'
+    status = HTTPStatus.UNAUTHORIZED
+    not_run = True
+
+
+class ForbiddenError(MangotrailError):
+    """The credential does not allow the request."""
+
+    code = 'forbidden'
+    status = HTTPStatus.FORBIDDEN
+    not_run = True
+
+
+class UnknownObjectError(MangotrailError):
+    """The named account, job, zone, bundle or endpoint does not exist."""
+
+    code = 'unknown_object'
+    status = HTTPStatus.NOT_FOUND
+
+
+class BundleConflictError(MangotrailError):
+    """Another operator's bundle version was accepted first."""
+
+    code = 'bundle_conflict'
+    status = HTTPStatus.CONFLICT
+
+
+class BundleStateError(MangotrailError):
+    """A bundle version is not in the state that the operation needs."""
+
+    code = 'bundle_state'
+    status = HTTPStatus.CONFLICT
+
+
+class StaleGenerationError(MangotrailError):
+    """An announcement belongs to a generation that has left or was replaced."""
+
+    code = 'stale_generation'
+    status = HTTPStatus.CONFLICT
+
+
+class RequestConflictError(MangotrailError):
+    """A request id was used again for a different request."""
+
+    code = 'request_conflict'
+    status = HTTPStatus.CONFLICT
+
+
+class RequestTooOldError(MangotrailError):
+    """A request is older than the retention, so a first run may be forgotten."""
+
+    code = 'request_too_old'
+    status = HTTPStatus.GONE
+
+
+class QueueFullError(MangotrailError):
+    """The queue of the account is full."""
+
+    code = 'queue_full'
+    status = HTTPStatus.TOO_MANY_REQUESTS
+    not_run = True
+
+
+class ImpossibleJobError(MangotrailError):
+    """No inventory of the bundle in force could ever hold the job."""
+
+    code = 'impossible_job'
+    status = HTTPStatus.UNPROCESSABLE_ENTITY
+    not_run = True
+
+
+class UnavailableError(MangotrailError):
+    """The instance cannot take the request and has handed nothing over."""
+
+    code = 'unavailable'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+    not_run = True
+
+
+class UndecidedError(MangotrailError):
+    """A request was handed over and its fate is not yet known."""
+
+    code = 'undecided'
+    status = HTTPStatus.GATEWAY_TIMEOUT
+
+
+class NotLeaderError(MangotrailError):
+    """A proposal reached a member that does not lead."""
+
+    code = 'not_leader'
+    status = HTTPStatus.SERVICE_UNAVAILABLE
+
+
+class StorageError(MangotrailError):
+    """The journal cannot be written or synced."""
+
+    code = 'storage_error'
+
+
+class DamagedJournalError(StorageError):
+    """A journal or snapshot is damaged beyond a torn tail."""
+
+    code = 'damaged_journal'
+
+
+class ProtocolError(MangotrailError):
+    """A frame of another deployment, version or size reached a process."""
+
+    code = 'protocol_error'
+    status = HTTPStatus.BAD_REQUEST
+
+
+class PlatformError(MangotrailError):
+    """The platform's worker interface failed or refused a call."""
+
+    code = 'platform_error'
+    status = HTTPStatus.BAD_GATEWAY
+
+
+class EndpointError(MangotrailError):
+    """An endpoint failed or sent an answer that is not whole or not its own."""
+
+    code = 'endpoint_error'
+    status = HTTPStatus.BAD_GATEWAY
--- /dev/null
+++ b/mangotrail/ids.py
@@ -0,0 +1,15 @@
+"""Identifiers, one type for each kind of thing they name."""
+
+from typing import NewType
+
+AccountId = NewType('AccountId', str)
+RequestId = NewType('RequestId', str)
+JobId = NewType('JobId', str)
+WorkerId = NewType('WorkerId', str)
+ZoneId = NewType('ZoneId', str)
+RegionId = NewType('RegionId', str)
+EndpointId = NewType('EndpointId', str)
+InstanceId = NewType('InstanceId', str)
+MemberId = NewType('MemberId', str)
+OperationId = NewType('OperationId', str)
+ServiceId = NewType('ServiceId', str)
