--- /dev/null
+++ b/mangotrail/__main__.py
@@ -0,0 +1,7 @@
+"""Runs the command line as ``python -m mangotrail``."""
+
+import sys
+
+from mangotrail.cli import run
+
+sys.exit(run())
--- /dev/null
+++ b/mangotrail/commands_process.py
@@ -0,0 +1,148 @@
+"""Subcommands that run a process or look at the files of one instance."""
+
+import asyncio
+from collections.abc import Coroutine, Sequence
+from importlib import import_module
+from pathlib import Path
+from typing import Any
+
+from absl import flags
+
+from mangotrail._settings import Settings
+from mangotrail.commands import Command, ExitCode, print_json
+from mangotrail.errors import SettingsError
+from mangotrail.settings import load_credentials, load_settings, own_peer
+
+
+class SettingsCommand(Command):
+    """A command that works on one settings file."""
+
+    def define(self, values: flags.FlagValues) -> None:
+        """Define ``--settings``."""
+        flags.DEFINE_string(
+            'settings',
+            None,
+            'Settings file of the instance.',
+            required=True,
+            flag_values=values,
+        )
+
+
+class ControlCommand(SettingsCommand):
+    """Runs the control process."""
+
+    name = 'control'
+    summary = 'Runs the control process of this instance.'
+    examples = ('control --settings /etc/mangotrail/settings.json',)
+
+    def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
+        """Run until the process is told to stop."""
+        return _run_process(values, 'control')
+
+
+class GatewayCommand(SettingsCommand):
+    """Runs the gateway process."""
+
+    name = 'gateway'
+    summary = 'Runs the gateway process of this instance.'
+    examples = ('gateway --settings /etc/mangotrail/settings.json',)
+
+    def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
+        """Run until the process is told to stop."""
+        return _run_process(values, 'gateway')
+
+
+class FormatCommand(SettingsCommand):
+    """Writes the identity of a data folder."""
+
+    name = 'format'
+    summary = (
+        'Writes a new identity into the empty data folder of this instance. '
+        'Use --founding once, on the instances with disks of a new deployment.'
+    )
+    examples = (
+        'format --founding --settings /etc/mangotrail/settings.json',
+        'format --settings /etc/mangotrail/settings.json',
+    )
+
+    def define(self, values: flags.FlagValues) -> None:
+        """Define ``--founding``."""
+        super().define(values)
+        flags.DEFINE_boolean(
+            'founding',
+            False,
+            'The instance is a voter of a new deployment.',
+            flag_values=values,
+        )
+
+    def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
+        """Format the data folder."""
+        settings = load_settings(values.settings)
+        if settings.data_folder is None:
+            raise SettingsError(
+                'This instance has no disk, so there is nothing to format.',
+                field='data_folder',
+                value=None,
+                allowed='a folder',
+                remedy='Run format on the instances with disks only.',
+            )
+        format_folder(settings, founding=values.founding)
+        print(f'Formatted {settings.data_folder}.')
+        return ExitCode.DONE
+
+
+class CheckSettingsCommand(SettingsCommand):
+    """Checks settings and credentials."""
+
+    name = 'check-settings'
+    summary = 'Checks the settings and the credentials that they name.'
+    examples = ('check-settings --settings /etc/mangotrail/settings.json',)
+
+    def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
+        """Print what the settings say about this instance."""
+        settings = load_settings(values.settings)
+        credentials = load_credentials(settings.credentials_file)
+        report = {
+            'deployment': settings.deployment,
+            'instance': settings.instance,
+            'zone': own_peer(settings).zone,
+            'has_disk': own_peer(settings).has_disk,
+            'instances': len(settings.peers),
+            'disks': sum(peer.has_disk for peer in settings.peers),
+            'operators': len(credentials.operators),
+            'accounts': len(credentials.accounts),
+            'services': len(credentials.services),
+        }
+        if values.json:
+            print_json(report)
+        else:
+            for name, value in report.items():
+                print(f'{name}: {value}')
+            print('Settings and credentials are valid.')
+        return ExitCode.DONE
+
+
+def format_folder(settings: Settings, *, founding: bool) -> None:
+    """Write the identity of the data folder.
+
+    :raises StorageError: if the folder already has an identity.
+    """
+    journal = import_module('mangotrail.journal')
+    journal.format_folder(
+        Path(settings.data_folder or ''),
+        deployment=settings.deployment,
+        instance=settings.instance,
+        founding=founding,
+    )
+
+
+def _run_process(values: flags.FlagValues, process: str) -> int:
+    settings = load_settings(values.settings)
+    credentials = load_credentials(settings.credentials_file)
+    # Imported here so that a control process never loads the HTTP server.
+    module = import_module(f'mangotrail.{process}')
+    running: Coroutine[Any, Any, None] = getattr(module, f'run_{process}')(
+        settings, credentials
+    )
+    asyncio.run(running)
+    return ExitCode.DONE
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Commands for the development of mangotrail."""
