--- a/mangotrail/documents.py
+++ b/mangotrail/documents.py
@@ -48,10 +48,12 @@
             allowed='a readable regular file',
             remedy='Correct the path or the permissions.',
         ) from failure
-    with os.fdopen(descriptor, 'rb') as source:
-        status = os.fstat(source.fileno())
-        _check_file(path, status, error=error, private=private)
-        content = source.read(MAX_BYTES + 1)
+    try:
+        _check_file(path, os.fstat(descriptor), error=error, private=private)
+        with open(descriptor, 'rb', closefd=False) as source:
+            content = source.read(MAX_BYTES + 1)
+    finally:
+        os.close(descriptor)
     check_size(content, error=error)
     return content
 
