--- a/mangotrail/commands_process.py
+++ b/mangotrail/commands_process.py
@@ -11,6 +11,7 @@
 from mangotrail._settings import Settings
 from mangotrail.commands import Command, ExitCode, print_json
 from mangotrail.errors import SettingsError
+from mangotrail.logs import configure_logs
 from mangotrail.settings import load_credentials, load_settings, own_peer
 
 
@@ -139,6 +140,7 @@
 def _run_process(values: flags.FlagValues, process: str) -> int:
     settings = load_settings(values.settings)
     credentials = load_credentials(settings.credentials_file)
+    configure_logs(settings.log, settings.instance, process)
     # Imported here so that a control process never loads the HTTP server.
     module = import_module(f'mangotrail.{process}')
     running: Coroutine[Any, Any, None] = getattr(module, f'run_{process}')(
