Add the HTTP client and the operator, job and endpoint commands

Cause: operators, callers and scripts need a command line that tells them truthfully whether a command took effect. Change: a client on http.client that goes to another gateway only while it is proven that nothing was done; the remaining subcommands; exit codes; tables.

--- a/mangotrail/cli.py
+++ b/mangotrail/cli.py
@@ -1,5 +1,6 @@
 """The command ``mangotrail``."""
 
+import os
 import sys
 from collections.abc import Sequence
 from importlib import import_module
@@ -23,12 +24,43 @@
     'gateway': 'commands_process:GatewayCommand',
     'format': 'commands_process:FormatCommand',
     'check-settings': 'commands_process:CheckSettingsCommand',
+    'bundle write': 'commands_operator:WriteBundleCommand',
+    'bundle sign': 'commands_operator:SignBundleCommand',
+    'bundle rollout': 'commands_operator:RollOutBundleCommand',
+    'bundle list': 'commands_operator:ListBundlesCommand',
+    'bundle show': 'commands_operator:ShowBundleCommand',
+    'zone out': 'commands_operator:ZoneOutCommand',
+    'zone in': 'commands_operator:ZoneInCommand',
+    'zone drain': 'commands_operator:ZoneDrainCommand',
+    'zone list': 'commands_operator:ListZonesCommand',
+    'account list': 'commands_operator:ListAccountsCommand',
+    'job submit': 'commands_job:SubmitJobCommand',
+    'job show': 'commands_job:ShowJobCommand',
+    'job wait': 'commands_job:WaitJobCommand',
+    'job cancel': 'commands_job:CancelJobCommand',
+    'job list': 'commands_job:ListJobsCommand',
+    'endpoint list': 'commands_endpoint:ListEndpointsCommand',
+    'endpoint announce': 'commands_endpoint:AnnounceEndpointCommand',
+    'endpoint leave': 'commands_endpoint:LeaveEndpointCommand',
+    'member list': 'commands_operator:ListMembersCommand',
+    'version list': 'commands_operator:ListVersionsCommand',
+    'dump': 'commands_operator:DumpCommand',
 }
 
 
 def run() -> int:
     """Run the command line of this process."""
-    return main(sys.argv[1:])
+    try:
+        code = main(sys.argv[1:])
+        sys.stdout.flush()
+    except KeyboardInterrupt:
+        return ExitCode.INTERRUPTED
+    except BrokenPipeError:
+        # The reader, such as head, has all it wants. The interpreter must not
+        # flush into the closed pipe again when it exits.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitCode.DONE
+    return code
 
 
 def main(words: Sequence[str]) -> int:
@@ -46,12 +78,16 @@
         print(command_help(command))
         return ExitCode.DONE
     try:
-        values, arguments = parse_words(command, rest)
+        return _run_command(command, rest)
     except UsageError as failure:
         sys.stderr.write(
             f'error: {failure}\nSee: mangotrail {command.name} --help\n'
         )
         return ExitCode.USAGE
+
+
+def _run_command(command: Command, words: Sequence[str]) -> int:
+    values, arguments = parse_words(command, words)
     try:
         return command.run(values, arguments)
     except MangotrailError as error:
--- a/mangotrail/commands.py
+++ b/mangotrail/commands.py
@@ -11,9 +11,8 @@
 from absl import flags
 
 from mangotrail.errors import (
-    InvalidBundleError,
+    InvalidInputError,
     MangotrailError,
-    SettingsError,
     UnavailableError,
     UndecidedError,
 )
@@ -31,13 +30,14 @@
     UNDECIDED = 6
     NO_ANSWER = 7
     IN_PROGRESS = 8
+    INTERRUPTED = 130
 
 
 EXIT_MEANINGS = {
     ExitCode.DONE: 'done',
     ExitCode.INTERNAL: 'internal error of the command or the service',
     ExitCode.USAGE: 'unknown command, flag or argument',
-    ExitCode.INVALID: 'settings, credentials or bundle are invalid',
+    ExitCode.INVALID: 'settings, credentials, bundle or other input is invalid',
     ExitCode.REFUSED: 'the service refused the request',
     ExitCode.NOT_RUN: 'no instance took the request; nothing was done',
     ExitCode.UNDECIDED: (
@@ -46,6 +46,7 @@
     ),
     ExitCode.NO_ANSWER: 'the job ended without an answer',
     ExitCode.IN_PROGRESS: 'the job has not ended within the wait',
+    ExitCode.INTERRUPTED: 'interrupted; a request that was sent may take effect',
 }
 
 
@@ -125,7 +126,7 @@
 
 def exit_code(error: MangotrailError) -> ExitCode:
     """Return the exit code that tells a script what to do next."""
-    if isinstance(error, SettingsError | InvalidBundleError):
+    if isinstance(error, InvalidInputError):
         return ExitCode.INVALID
     if isinstance(error, UndecidedError):
         return ExitCode.UNDECIDED
--- /dev/null
+++ b/tests/test_client.py
@@ -0,0 +1,144 @@
+"""Guards against a client that misreports what happened to a request."""
+
+from typing import Any
+
+import pytest
+
+from mangotrail import errors
+from mangotrail._messages import View, ZoneState
+from mangotrail.client import Client
+from mangotrail.clock import ManualClock
+from mangotrail.ids import AccountId, OperationId, RequestId, ZoneId
+from tests.gateways import NO_REPLY, closed_url, error, serving
+
+RUNNING = {'job': 'a/r', 'account': 'a', 'request': 'r', 'state': 'running'}
+FINISHED = {**RUNNING, 'state': 'finished', 'outcome': 'answered'}
+ZONES = (200, {'zones': []})
+BUSY = (503, error('unavailable', not_run=True))
+TOKEN = 't' * 16
+
+
+def client_of(*servers: str) -> Client:
+    """Return a client with a short timeout."""
+    return Client(servers, token=TOKEN, timeout_s=5)
+
+
+def take_out(client: Client) -> None:
+    """Send a request that changes something."""
+    client.set_zone(ZoneId('z'), ZoneState.OUT, operation=OperationId('o'))
+
+
+class TestFailover:
+    """Which requests go to a second server."""
+
+    def test_refused_connection(self) -> None:
+        """One stopped gateway must not stop the operators."""
+        with serving((200, {'kind': 'accepted'})) as gateway:
+            take_out(client_of(closed_url(), gateway.url))
+        assert len(gateway.requests) == 1
+
+    def test_no_server(self) -> None:
+        """Not run is true only because nothing was sent."""
+        with pytest.raises(errors.UnavailableError) as caught:
+            take_out(client_of(closed_url(), closed_url()))
+        assert caught.value.not_run
+
+    def test_busy_server(self) -> None:
+        """A gateway that hands nothing over proves that nothing ran."""
+        with serving(BUSY) as first, serving(ZONES) as second:
+            client = client_of(first.url, second.url)
+            assert client.list_view(View.ZONES) == []
+
+    @pytest.mark.parametrize(
+        'reply',
+        [
+            NO_REPLY,
+            (200, b'{"kind": "acc'),
+            (200, b''),
+            (302, b'{}'),
+            (502, b'<html>'),
+            (503, error('unavailable')),
+            (504, error('undecided', not_run=False)),
+        ],
+        ids=str,
+    )
+    def test_undecided(self, reply: Any) -> None:
+        """A change whose fate is unknown must not be sent elsewhere."""
+        with serving(reply) as first, serving(ZONES) as second:
+            client = client_of(first.url, second.url)
+            with pytest.raises(errors.UndecidedError) as caught:
+                take_out(client)
+            assert not second.requests
+            # Reading again changes nothing.
+            assert client.list_view(View.ZONES) == []
+        assert not caught.value.not_run
+
+
+class TestReplies:
+    """Typed replies and errors."""
+
+    def test_error_type(self) -> None:
+        """The loser of a race must learn the winning version."""
+        reply = error('bundle_conflict', value='4', allowed='5', not_run=True)
+        with serving((409, reply)) as gateway:
+            with pytest.raises(errors.BundleConflictError) as caught:
+                take_out(client_of(gateway.url))
+        assert (caught.value.value, caught.value.allowed) == ('4', '5')
+
+    @pytest.mark.parametrize('code', ['invalid_input', 'from_a_newer_server'])
+    def test_unproven_not_run(self, code: str) -> None:
+        """Only the server's own word makes "not run" true."""
+        with serving((400, error(code))) as gateway:
+            with pytest.raises(errors.MangotrailError) as caught:
+                take_out(client_of(gateway.url))
+        assert not caught.value.not_run
+
+    def test_answer(self) -> None:
+        """An answer must arrive whole, and new fields must not break it."""
+        reply = {**FINISHED, 'answer': 'AAH/', 'later_field': 1}
+        with serving((200, reply)) as gateway:
+            client = client_of(gateway.url)
+            view = client.read_job(AccountId('a'), RequestId('r/?#'))
+        assert view.answer == b'\x00\x01\xff'
+        assert gateway.requests[0][1] == '/v1/jobs/a/r%2F%3F%23?wait_s=0'
+
+    @pytest.mark.parametrize(
+        'url', ['', 'https://h:1', 'http://h', 'http://[:1']
+    )
+    def test_bad_server(self, url: str) -> None:
+        """A token must not go to an address that was misread."""
+        with pytest.raises(errors.SettingsError, match='server'):
+            client_of(url)
+
+
+class TestWait:
+    """Waiting for the end of a job."""
+
+    def test_survives_restart(self) -> None:
+        """A gateway restart during an hour's wait must not end the wait."""
+        clock = ManualClock()
+        replies = [(200, RUNNING), BUSY, (200, FINISHED)]
+        with serving(*replies) as gateway:
+            view = client_of(gateway.url).wait_job(
+                AccountId('a'),
+                RequestId('r'),
+                wait_s=60,
+                now=clock.age_s,
+                pause=clock.advance,
+            )
+        assert view.state == 'finished'
+        assert clock.age_s() == pytest.approx(1)
+
+    def test_ends(self) -> None:
+        """A wait without an end would hide a stuck job."""
+        clock = ManualClock()
+        with serving((200, RUNNING)) as gateway:
+            view = client_of(gateway.url).wait_job(
+                AccountId('a'),
+                RequestId('r'),
+                wait_s=1.2,
+                now=clock.age_s,
+                pause=clock.advance,
+            )
+        assert view.state == 'running'
+        assert clock.age_s() == pytest.approx(1.2)
