--- a/mangotrail/_messages.py
+++ b/mangotrail/_messages.py
@@ -676,6 +676,13 @@
 
     instance: Annotated[InstanceId, Meta(max_length=128)]
     ready: bool
+    boot: Annotated[
+        str,
+        Meta(
+            description='Changes with each start of the gateway process.',
+            max_length=64,
+        ),
+    ] = ''
     attempts: Annotated[int, Meta(ge=0)] = 0
     bundle_version: Annotated[int, Meta(ge=0)] = 0
 
@@ -785,6 +792,13 @@
     """
 
     zones: Sequence[ZonePlatform]
+    epoch: Annotated[
+        int,
+        Meta(
+            description='A new value asks for full reports: a new leader knows no worker yet.',
+            ge=0,
+        ),
+    ] = 0
 
 
 class InForce(
@@ -853,3 +867,106 @@
     ForwardedCall | ForwardedReply | GatewayOrder,
     Meta(description='What control processes exchange besides the agreement.'),
 ]
+
+
+class JobRecord(FrozenStruct, frozen=True, kw_only=True):
+    """
+    A job as the replicated state keeps it.
+    """
+
+    job: Annotated[JobId, Meta(max_length=128)]
+    job_spec: JobSpec
+    origin: Annotated[InstanceId, Meta(max_length=128)]
+    state: JobState
+    request_digest: Annotated[
+        bytes,
+        Meta(
+            description='Digest of what a retry must repeat; it outlives the payload.'
+        ),
+    ]
+    accepted_s: float
+    zone: Annotated[str, Meta(max_length=128)] | None = None
+    attempt: Annotated[int, Meta(ge=0)] = 0
+    dispatcher: Annotated[str, Meta(max_length=128)] | None = None
+    placement: Placement | None = None
+    granted_s: float = 0
+    started_s: float = 0
+    finished_s: float = 0
+    outcome: Outcome | None = None
+    ran: Annotated[
+        bool, Meta(description='Whether any attempt may have run.')
+    ] = False
+    reason: str = ''
+    cancel_requested: bool = False
+    answer: bytes | None = None
+    answer_sha256: str = ''
+    answer_bytes: int = 0
+    holder: Annotated[str, Meta(max_length=128)] | None = None
+    runtime_s: float = 0
+
+
+class BundleRecord(FrozenStruct, frozen=True, kw_only=True):
+    """
+    One bundle version; the bundle itself is kept encoded to save memory.
+    """
+
+    version: int
+    digest: str
+    parent_version: int
+    parent_digest: str
+    state: BundleState
+    operator: str
+    written_s: float
+    encoded: bytes
+    signer: str = ''
+    in_force_s: float = 0
+
+
+class ZoneRecord(FrozenStruct, frozen=True, kw_only=True):
+    """
+    State of an availability zone.
+    """
+
+    zone: Annotated[ZoneId, Meta(max_length=128)]
+    state: ZoneState
+    deadline_s: float = 0
+    changed_s: float = 0
+    operator: str = ''
+
+
+class EndpointRecord(FrozenStruct, frozen=True, kw_only=True):
+    """
+    The newest generation of an endpoint.
+    """
+
+    endpoint: Annotated[EndpointId, Meta(max_length=128)]
+    generation: int
+    service: Annotated[ServiceId, Meta(max_length=128)]
+    zone: Annotated[ZoneId, Meta(max_length=128)]
+    url: str
+    changed_s: float
+    worker: Annotated[str, Meta(max_length=128)] | None = None
+    left: bool = False
+
+
+class OperationRecord(FrozenStruct, frozen=True, kw_only=True):
+    """
+    First result of an operator command.
+    """
+
+    operation: Annotated[OperationId, Meta(max_length=128)]
+    time_s: float
+    result: ReplyBody
+
+
+class StateSnapshot(FrozenStruct, frozen=True, kw_only=True):
+    """
+    The whole replicated state up to one log index.
+    """
+
+    index: int
+    bundles: Sequence[BundleRecord]
+    zones: Sequence[ZoneRecord]
+    endpoints: Sequence[EndpointRecord]
+    jobs: Sequence[JobRecord]
+    operations: Sequence[OperationRecord]
