--- /dev/null
+++ b/mangotrail/_ending.py
@@ -0,0 +1,125 @@
+"""How attempts and jobs end, and which attempts are tried again."""
+
+from mangotrail._core import Core, TimerKind
+from mangotrail._jobs import Job, Phase
+from mangotrail._messages import Outcome
+from mangotrail.events import GangFailed, JobFinished
+from mangotrail.ids import JobId
+
+RETRY_FIRST_S = 0.5
+RETRY_LAST_S = 8.0
+
+
+def attempt_of(core: Core, job: JobId, attempt: int, kind: str) -> Job | None:
+    """Return the job whose current attempt an event names.
+
+    Any other event is counted as a contradiction.
+    """
+    found = core.jobs.get(job)
+    if found is None or not found.active or found.attempt != attempt:
+        core.counters[kind] += 1
+        return None
+    return found
+
+
+def on_failed(core: Core, event: GangFailed) -> None:
+    """End an attempt that gave no answer."""
+    job = attempt_of(core, event.job, event.attempt, 'stale_gang_failed')
+    if job is None:
+        return
+    stopped = bool(job.stopping)
+    core.release(job)
+    if not event.nothing_ran:
+        job.ran = True
+    if job.cancelled:
+        core.finish(job, Outcome.CANCELLED, 'cancelled')
+    elif job.ran and not job.spec.idempotent:
+        core.finish(job, Outcome.OUTCOME_UNKNOWN, event.reason)
+    elif is_late(core, job):
+        finish_late(core, job)
+    elif stopped:
+        core.enqueue(job)
+    else:
+        _retry(core, job, event.reason)
+
+
+def _retry(core: Core, job: Job, reason: str) -> None:
+    assert core.bundle is not None
+    job.failures += 1
+    queue = core.queue_of(job)
+    if job.failures >= core.bundle.limits.max_attempts:
+        _give_up(core, job, f'no attempts left: {reason}')
+    elif not queue.may_retry():
+        _give_up(core, job, f'retry budget used: {reason}')
+    else:
+        queue.retries += 1
+        job.phase = Phase.DELAYED
+        delay = _delay_s(core, job.failures)
+        core.add_timer(
+            core.now_s + delay, TimerKind.RETRY, job.job, job.attempt
+        )
+
+
+def _delay_s(core: Core, failures: int) -> float:
+    longest = min(RETRY_LAST_S, RETRY_FIRST_S * 2**failures)
+    return core.random.uniform(RETRY_FIRST_S, longest)
+
+
+def _give_up(core: Core, job: Job, reason: str) -> None:
+    outcome = Outcome.OUTCOME_UNKNOWN if job.ran else Outcome.NOT_RUN
+    core.finish(job, outcome, reason)
+
+
+def on_finished(core: Core, event: JobFinished) -> Job | None:
+    """End a job that its endpoint answered."""
+    job = attempt_of(core, event.job, event.attempt, 'stale_job_finished')
+    if job is None:
+        return None
+    core.release(job)
+    del core.jobs[job.job]
+    return job
+
+
+def on_cancelled(core: Core, job_id: JobId) -> None:
+    """End a job whose caller no longer wants it."""
+    job = core.jobs.get(job_id)
+    if job is None or job.cancelled:
+        core.counters['stale_job_cancelled'] += 1
+        return
+    job.cancelled = True
+    if job.active:
+        core.stop(job, 'cancelled')
+        return
+    if job.phase is Phase.QUEUED:
+        core.queue_of(job).remove(job)
+    core.finish(job, Outcome.CANCELLED, 'cancelled')
+
+
+def is_late(core: Core, job: Job) -> bool:
+    """Tell whether the caller no longer needs the answer."""
+    limit = job.spec.deadline_s
+    return limit is not None and core.now_s >= job.submitted_s + limit
+
+
+def finish_late(core: Core, job: Job) -> None:
+    """End a job that waits past its deadline."""
+    outcome = Outcome.OUTCOME_UNKNOWN if job.ran else Outcome.NOT_RUN
+    core.finish(job, outcome, 'deadline passed')
+
+
+def on_timer(core: Core, kind: TimerKind, job_id: JobId, attempt: int) -> None:
+    """Do what was planned for a job unless it moved on."""
+    job = core.jobs.get(job_id)
+    if job is None:
+        return
+    if kind is TimerKind.DEADLINE:
+        if not job.active:
+            if job.phase is Phase.QUEUED:
+                core.queue_of(job).remove(job)
+            finish_late(core, job)
+    elif job.attempt != attempt:
+        return
+    elif kind is TimerKind.RETRY and job.phase is Phase.DELAYED:
+        core.enqueue(job)
+    elif kind is TimerKind.STOP and job.active:
+        core.stop(job, 'preempted')
--- /dev/null
+++ b/mangotrail/_jobs.py
@@ -0,0 +1,109 @@
+"""What the scheduler knows about one job."""
+
+from enum import Enum
+from typing import NamedTuple
+
+from mangotrail._messages import JobShape, JobSpec, Placement
+from mangotrail.ids import AccountId, JobId, ServiceId
+from mangotrail.topology import Spot
+
+
+class Phase(Enum):
+    """Progress of a job inside the scheduler."""
+
+    QUEUED = 'queued'
+    DELAYED = 'delayed'
+    PLACED = 'placed'
+    RUNNING = 'running'
+
+
+class QueueKey(NamedTuple):
+    """Jobs of one account with equal keys can be placed alike."""
+
+    urgent: bool
+    shape: JobShape
+    pinned: bool
+    service: ServiceId
+    job_kind: str
+
+
+class Job:
+    """An accepted job.
+
+    :param submitted_s: time of acceptance.
+    """
+
+    __slots__ = (
+        'job',
+        'spec',
+        'submitted_s',
+        'phase',
+        'attempt',
+        'failures',
+        'ran',
+        'cancelled',
+        'deadline_passed',
+        'stopping',
+        'checkpointed',
+        'placement',
+        'spots',
+        'started_s',
+        'charged',
+        'wait_reason',
+        'throttled_s',
+    )
+
+    def __init__(
+        self, *, job: JobId, spec: JobSpec, submitted_s: float
+    ) -> None:
+        self.job = job
+        self.spec = spec
+        self.submitted_s = submitted_s
+        self.phase = Phase.QUEUED
+        self.attempt = 0
+        self.failures = 0
+        # Whether any part of an earlier attempt may have run.
+        self.ran = False
+        self.cancelled = False
+        self.deadline_passed = False
+        # Reason of the stop that was ordered, empty if none was.
+        self.stopping = ''
+        self.checkpointed = False
+        self.placement: Placement | None = None
+        self.spots: tuple[Spot, ...] = ()
+        self.started_s = 0.0
+        # Accelerators held outside the account's own guarantee.
+        self.charged = 0.0
+        self.wait_reason = ''
+        self.throttled_s = 0.0
+
+    @property
+    def account(self) -> AccountId:
+        """Return the account that submitted the job."""
+        return self.spec.account
+
+    @property
+    def pinned(self) -> bool:
+        """Tell whether the job must not be preempted once it began."""
+        return not (self.spec.preemptible and self.spec.idempotent)
+
+    @property
+    def active(self) -> bool:
+        """Tell whether an attempt holds resources."""
+        return self.phase in {Phase.PLACED, Phase.RUNNING}
+
+    @property
+    def began(self) -> bool:
+        """Tell whether the current attempt is known to have begun."""
+        return self.phase is Phase.RUNNING
+
+    @property
+    def key(self) -> QueueKey:
+        """Return what decides where the job can be placed."""
+        return QueueKey(
+            urgent=self.spec.urgent,
+            shape=self.spec.shape,
+            pinned=self.pinned,
+            service=self.spec.service,
+            job_kind=self.spec.job_kind,
+        )
--- /dev/null
+++ b/mangotrail/placement.py
@@ -0,0 +1,274 @@
+"""Where a gang is placed."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from enum import Enum
+from typing import NamedTuple
+
+from mangotrail._blocks import count_blocks, full_mask, take_block
+from mangotrail._messages import GangLevel, JobShape
+from mangotrail.ids import AccountId, JobId
+from mangotrail.topology import Rack, Spot, Topology, Worker, Zone
+
+
+class Reach(Enum):
+    """Which capacity a placement may use.
+
+    Reclaim and displace count capacity of jobs that can be preempted.
+    """
+
+    OWN = 'own'
+    OPEN = 'open'
+    BORROW = 'borrow'
+    RECLAIM = 'reclaim'
+    DISPLACE = 'displace'
+
+
+class Want(NamedTuple):
+    """A gang to place.
+
+    :param ends_s: time by which it ends according to learned run times,
+        infinite if unknown; a shorter one may backfill.
+    """
+
+    job: JobId
+    account: AccountId
+    shape: JobShape
+    pinned: bool
+    urgent: bool = False
+    ends_s: float = float('inf')
+
+
+class Fit(NamedTuple):
+    """Members that fit on one worker."""
+
+    members: int
+    rest: int
+    mask: int
+    worker: Worker
+
+
+def takeable(worker: Worker, want: Want, reach: Reach) -> int:
+    """Return the accelerators of a worker that a gang may use."""
+    own = worker.own.get(want.account, 0)
+    if reach is Reach.OWN:
+        mask = worker.free & own
+    elif reach is Reach.OPEN:
+        mask = worker.free & (~worker.reserved | own)
+    elif reach is Reach.BORROW:
+        mask = worker.free
+    elif reach is Reach.RECLAIM:
+        soft = worker.soft & own and _soft_of_others(worker, want)
+        mask = (worker.free & (~worker.reserved | own)) | (soft & own)
+    else:
+        soft = worker.soft and _soft_of_others(worker, want)
+        mask = (worker.free | soft) & (~worker.reserved | own)
+    if worker.claims:
+        mask &= ~_claimed(worker, want)
+    return mask
+
+
+def _soft_of_others(worker: Worker, want: Want) -> int:
+    mask = 0
+    for hold in worker.holds.values():
+        if is_displaceable(hold.account, hold.pinned, hold.urgent, want):
+            mask |= hold.mask
+    return mask
+
+
+def is_displaceable(
+    account: AccountId, pinned: bool, urgent: bool, want: Want
+) -> bool:
+    """Tell whether a holder may be preempted for a gang."""
+    if pinned:
+        return False
+    return account != want.account or (want.urgent and not urgent)
+
+
+def _claimed(worker: Worker, want: Want) -> int:
+    mask = 0
+    for job, claim in worker.claims.items():
+        if job != want.job and want.ends_s > claim.before_s:
+            mask |= claim.mask
+    return mask
+
+
+def _claimed_slots(worker: Worker, want: Want) -> int:
+    return sum(
+        claim.slots
+        for job, claim in worker.claims.items()
+        if job != want.job and want.ends_s > claim.before_s
+    )
+
+
+def _members_by_slots(
+    worker: Worker, want: Want, reach: Reach, mask: int
+) -> int:
+    slots, connections = worker.free_slots, worker.free_connections
+    if reach in {Reach.RECLAIM, Reach.DISPLACE}:
+        for hold in worker.holds.values():
+            if is_displaceable(hold.account, hold.pinned, hold.urgent, want):
+                slots += hold.slots
+                connections += hold.connections
+    if worker.claims:
+        claimed = _claimed_slots(worker, want)
+        slots -= claimed
+        connections -= claimed
+    if want.shape.accelerators:
+        slots = min(slots, connections)
+    if want.pinned and mask & ~worker.own.get(want.account, 0) or not mask:
+        slots = _within_spare(worker, want, slots)
+    return slots
+
+
+def _within_spare(worker: Worker, want: Want, slots: int) -> int:
+    if not want.pinned:
+        return slots
+    if not want.shape.accelerators:
+        return min(slots, worker.spare_slots)
+    return min(slots, worker.spare_slots, worker.spare_connections)
+
+
+def _fit(worker: Worker, want: Want, reach: Reach) -> Fit | None:
+    size = want.shape.accelerators
+    if not worker.free_slots and reach not in {Reach.RECLAIM, Reach.DISPLACE}:
+        return None
+    if not size:
+        count = _members_by_slots(worker, want, reach, 0)
+        rest = worker.free.bit_count() * worker.slots + worker.free_slots
+        return Fit(count, rest, 0, worker) if count > 0 else None
+    mask = takeable(worker, want, reach)
+    count = count_blocks(mask, size)
+    if not count:
+        return None
+    count = min(count, _members_by_slots(worker, want, reach, mask))
+    if count <= 0:
+        return None
+    return Fit(count, mask.bit_count() - count * size, mask, worker)
+
+
+def _fits(workers: Iterable[Worker], want: Want, reach: Reach) -> Iterator[Fit]:
+    for worker in workers:
+        if worker.healthy and not worker.quarantined:
+            fit = _fit(worker, want, reach)
+            if fit is not None:
+                yield fit
+
+
+def _choose(fits: Sequence[Fit], members: int, size: int) -> list[Spot]:
+    """Fill whole workers first, then the tightest worker that remains."""
+    left = members
+    chosen: list[Spot] = []
+    larger: Fit | None = None
+    for fit in sorted(fits, key=lambda one: (-one.members, one.rest)):
+        if fit.members > left:
+            if larger is None or fit.members < larger.members:
+                larger = fit
+            continue
+        if larger is not None and fit.members < left:
+            break
+        chosen.append(_spot(fit, fit.members, size))
+        left -= fit.members
+        if not left:
+            return chosen
+    if larger is not None:
+        chosen.append(_spot(larger, left, size))
+    return chosen
+
+
+def _spot(fit: Fit, members: int, size: int) -> Spot:
+    masks = []
+    mask = fit.mask
+    for _ in range(members):
+        block = take_block(mask, size) if size else 0
+        mask &= ~block
+        masks.append(block)
+    return Spot(worker=fit.worker, masks=tuple(masks))
+
+
+def _domain(
+    workers: Iterable[Worker], want: Want, reach: Reach
+) -> list[Spot] | None:
+    members = want.shape.members
+    fits = list(_fits(workers, want, reach))
+    if sum(fit.members for fit in fits) < members:
+        return None
+    return _choose(fits, members, want.shape.accelerators)
+
+
+def _single(
+    workers: Iterable[Worker], want: Want, reach: Reach
+) -> list[Spot] | None:
+    members = want.shape.members
+    fits = [
+        fit for fit in _fits(workers, want, reach) if fit.members >= members
+    ]
+    if not fits:
+        return None
+    best = min(fits, key=lambda fit: (fit.members, fit.rest))
+    return [_spot(best, members, want.shape.accelerators)]
+
+
+def _racks(
+    racks: Sequence[Rack], want: Want, reach: Reach, need: int
+) -> list[Spot] | None:
+    free_only = reach not in {Reach.RECLAIM, Reach.DISPLACE}
+    for rack in sorted(racks, key=lambda one: one.free):
+        if free_only and rack.free < need:
+            continue
+        spots = _domain(rack.workers, want, reach)
+        if spots is not None:
+            return spots
+    return None
+
+
+def place_in_zone(zone: Zone, want: Want, reach: Reach) -> list[Spot] | None:
+    """Place a gang inside one zone, whole or not at all."""
+    shape = want.shape
+    need = shape.members * shape.accelerators
+    if reach not in {Reach.RECLAIM, Reach.DISPLACE} and (
+        zone.free < need or zone.free_slots < shape.members
+    ):
+        return None
+    if shape.members == 1 or shape.level is GangLevel.WORKER:
+        return _single(zone.workers, want, reach)
+    if shape.level is GangLevel.RACK:
+        return _racks(zone.racks, want, reach, need)
+    return _domain(zone.workers, want, reach)
+
+
+def zones_that_hold(topology: Topology, shape: JobShape) -> list[Zone]:
+    """Return the zones whose empty inventory can hold a gang."""
+    zones = topology.holding.get(shape)
+    if zones is None:
+        zones = [
+            zone
+            for zone in topology.zones.values()
+            if any(
+                _capacity(domain, shape) >= shape.members
+                for domain in _domains(zone, shape.level)
+            )
+        ]
+        topology.holding[shape] = zones
+    return zones
+
+
+def _capacity(domain: Iterable[Worker], shape: JobShape) -> int:
+    return sum(_members_when_empty(worker, shape) for worker in domain)
+
+
+def _domains(zone: Zone, level: GangLevel) -> list[tuple[Worker, ...]]:
+    if level is GangLevel.WORKER:
+        return [(worker,) for worker in zone.workers]
+    if level is GangLevel.RACK:
+        return [rack.workers for rack in zone.racks]
+    return [zone.workers]
+
+
+def _members_when_empty(worker: Worker, shape: JobShape) -> int:
+    if not shape.accelerators:
+        return worker.slots
+    return min(
+        count_blocks(full_mask(worker.accelerators), shape.accelerators),
+        worker.slots,
+        worker.connections,
+    )
--- /dev/null
+++ b/mangotrail/topology.py
@@ -0,0 +1,267 @@
+"""Free and used accelerators, slots and connections by topology."""
+
+from collections.abc import Iterable, Iterator, Sequence
+from typing import NamedTuple
+
+from mangotrail._blocks import full_mask
+from mangotrail._bundle import Bundle, RackSpec, ZoneSpec
+from mangotrail._messages import JobShape, ZoneState
+from mangotrail.ids import AccountId, JobId, RegionId, WorkerId, ZoneId
+
+
+class Spot(NamedTuple):
+    """Members of one gang on one worker.
+
+    :param masks: accelerators of each member.
+    """
+
+    worker: 'Worker'
+    masks: tuple[int, ...]
+
+    @property
+    def mask(self) -> int:
+        """Return the accelerators of all members."""
+        union = 0
+        for mask in self.masks:
+            union |= mask
+        return union
+
+
+class Hold(NamedTuple):
+    """What a job holds on one worker.
+
+    :param pinned: whether the job must not be preempted.
+    :param outside: members that use slots no guarantee of their own covers.
+    """
+
+    account: AccountId
+    mask: int
+    slots: int
+    connections: int
+    pinned: bool
+    urgent: bool
+    outside: int
+
+
+class Claim(NamedTuple):
+    """Capacity that waits for one job.
+
+    :param before_s: backfill must end before this time, 0 forbids backfill.
+    """
+
+    mask: int
+    slots: int
+    before_s: float
+
+
+class Worker:
+    """A platform machine with its accelerators, slots and connections."""
+
+    __slots__ = (
+        'worker',
+        'zone',
+        'rack',
+        'accelerators',
+        'slots',
+        'connections',
+        'cores',
+        'memory_gb',
+        'free',
+        'free_slots',
+        'free_connections',
+        'soft',
+        'pinned',
+        'outside',
+        'reserved',
+        'own',
+        'claimed',
+        'claimed_slots',
+        'claims',
+        'holds',
+        'healthy',
+        'quarantined',
+    )
+
+    def __init__(
+        self, *, worker: WorkerId, zone: 'Zone', rack: 'Rack', spec: RackSpec
+    ) -> None:
+        self.worker = worker
+        self.zone = zone
+        self.rack = rack
+        self.accelerators = spec.accelerators
+        self.cores = spec.cores
+        self.memory_gb = spec.memory_gb
+        self.slots = zone.slots
+        self.connections = zone.connections
+        self.free = full_mask(spec.accelerators)
+        self.free_slots = zone.slots
+        self.free_connections = zone.connections
+        # Accelerators held by jobs that can, and that cannot, be preempted.
+        self.soft = 0
+        self.pinned = 0
+        self.outside = 0
+        # Accelerators of guaranteed cells, and those of each account.
+        self.reserved = 0
+        self.own: dict[AccountId, int] = {}
+        self.claimed = 0
+        self.claimed_slots = 0
+        self.claims: dict[JobId, Claim] = {}
+        self.holds: dict[JobId, Hold] = {}
+        self.healthy = True
+        self.quarantined = False
+
+    @property
+    def usable(self) -> bool:
+        """Tell whether new work may start here."""
+        return self.healthy and not self.quarantined and self.zone.open
+
+    @property
+    def spare_slots(self) -> int:
+        """Slots that no guaranteed cell needs and no pinned job took."""
+        needed = min(self.slots, self.reserved.bit_count())
+        return self.slots - needed - self.outside
+
+    @property
+    def spare_connections(self) -> int:
+        """Connections that no guaranteed cell needs."""
+        needed = min(self.connections, self.reserved.bit_count())
+        return self.connections - needed - self.outside
+
+    def hold(self, job: JobId, hold: Hold) -> None:
+        """Take what a job holds here; the caller checked that it is free."""
+        self.holds[job] = hold
+        self.free &= ~hold.mask
+        self.free_slots -= hold.slots
+        self.free_connections -= hold.connections
+        self.rack.free -= hold.mask.bit_count()
+        self.zone.free -= hold.mask.bit_count()
+        self.zone.free_slots -= hold.slots
+        if hold.pinned:
+            self.pinned |= hold.mask
+            self.outside += hold.outside
+        else:
+            self.soft |= hold.mask
+
+    def release(self, job: JobId) -> None:
+        """Give back what a job holds here."""
+        hold = self.holds.pop(job)
+        self.free |= hold.mask
+        self.free_slots += hold.slots
+        self.free_connections += hold.connections
+        self.rack.free += hold.mask.bit_count()
+        self.zone.free += hold.mask.bit_count()
+        self.zone.free_slots += hold.slots
+        if hold.pinned:
+            self.pinned &= ~hold.mask
+            self.outside -= hold.outside
+        else:
+            self.soft &= ~hold.mask
+
+    def add_claim(self, job: JobId, claim: Claim) -> None:
+        """Keep capacity for a job that waits for it."""
+        self.claims[job] = claim
+        self.claimed |= claim.mask
+        self.claimed_slots += claim.slots
+
+    def drop_claim(self, job: JobId) -> None:
+        """End the claim of a job."""
+        claim = self.claims.pop(job)
+        self.claimed &= ~claim.mask
+        self.claimed_slots -= claim.slots
+
+    def reserve(self, account: AccountId, mask: int) -> None:
+        """Add accelerators of a guaranteed cell."""
+        self.reserved |= mask
+        self.own[account] = self.own.get(account, 0) | mask
+
+    def unreserve(self, account: AccountId, mask: int) -> None:
+        """Remove accelerators of a guaranteed cell."""
+        self.reserved &= ~mask
+        rest = self.own.get(account, 0) & ~mask
+        if rest:
+            self.own[account] = rest
+        else:
+            self.own.pop(account, None)
+
+
+class Rack:
+    """A rack of equal workers."""
+
+    __slots__ = ('rack', 'zone', 'accelerators', 'workers', 'free')
+
+    def __init__(self, *, zone: 'Zone', spec: RackSpec) -> None:
+        self.rack = spec.rack
+        self.zone = zone
+        self.accelerators = spec.accelerators
+        self.workers = tuple(
+            Worker(worker=worker, zone=zone, rack=self, spec=spec)
+            for worker in spec.workers
+        )
+        self.free = spec.accelerators * len(self.workers)
+
+
+class Zone:
+    """An availability zone with its racks.
+
+    :param starts_left: starts still allowed by the ramp after a return, None
+        without a ramp.
+    """
+
+    def __init__(self, *, spec: ZoneSpec) -> None:
+        self.zone = spec.zone
+        self.region: RegionId = spec.region
+        self.platform_url = spec.platform_url
+        self.slots = spec.slots
+        self.connections = spec.connections
+        self.state = ZoneState.IN
+        self.starts_left: float | None = None
+        self.free = 0
+        self.free_slots = 0
+        self.racks = tuple(Rack(zone=self, spec=rack) for rack in spec.racks)
+        self.workers = tuple(
+            worker for rack in self.racks for worker in rack.workers
+        )
+        self.free = sum(rack.free for rack in self.racks)
+        self.free_slots = spec.slots * len(self.workers)
+
+    @property
+    def open(self) -> bool:
+        """Tell whether the zone takes work."""
+        return self.state is ZoneState.IN
+
+
+class Topology:
+    """All zones of a bundle."""
+
+    def __init__(self, bundle: Bundle) -> None:
+        self.zones: dict[ZoneId, Zone] = {
+            spec.zone: Zone(spec=spec) for spec in bundle.zones
+        }
+        self.workers: dict[WorkerId, Worker] = {
+            worker.worker: worker for worker in self.walk()
+        }
+        # Zones whose empty inventory can hold a gang, by shape.
+        self.holding: dict[JobShape, list[Zone]] = {}
+
+    def walk(self) -> Iterator[Worker]:
+        """Return every worker of every zone."""
+        for zone in self.zones.values():
+            yield from zone.workers
+
+
+def spots_of(
+    topology: Topology, members: Iterable[tuple[WorkerId, Sequence[int]]]
+) -> list[Spot]:
+    """Group the members of a placement by worker.
+
+    Members on workers that the topology does not have are left out.
+    """
+    masks: dict[WorkerId, list[int]] = {}
+    for worker, indexes in members:
+        mask = sum(1 << index for index in set(indexes))
+        masks.setdefault(worker, []).append(mask)
+    return [
+        Spot(worker=topology.workers[worker], masks=tuple(found))
+        for worker, found in masks.items()
+        if worker in topology.workers
+    ]
