Keep the id types of optional fields, fix typing of the leader

Cause: the generator drops an id type next to a null in one type list. Change: optional ids are written as two branches in the schema.

--- a/mangotrail/_control_views.py
+++ b/mangotrail/_control_views.py
@@ -24,9 +24,7 @@
     return msgspec.json.encode({view.value: rows})
 
 
-def dump_of(
-    replica: Replica, leader: Leader | None, link: PeerLink
-) -> bytes:
+def dump_of(replica: Replica, leader: Leader | None, link: PeerLink) -> bytes:
     """Return the state of a control process as JSON."""
     state = replica.state
     document = {
@@ -104,7 +102,8 @@
     for spec in state.bundle.zones:
         record = state.zones.get(spec.zone)
         running = sum(
-            1 for job in state.unfinished_jobs()
+            1
+            for job in state.unfinished_jobs()
             if job.placement is not None and job.placement.zone == spec.zone
         )
         rows.append({
--- a/mangotrail/_fleet.py
+++ b/mangotrail/_fleet.py
@@ -116,7 +116,7 @@
                 service=record.service,
                 zone=record.zone,
                 url=record.url,
-                worker=record.worker,  # type: ignore[arg-type]
+                worker=record.worker,
             )
             for record in state.endpoints.values()
             if self._takes_work(record, now_s)
--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -73,9 +73,9 @@
     ZoneChanged,
 )
 from mangotrail.guarantees import check_guarantees
-from mangotrail.ids import InstanceId, JobId
+from mangotrail.ids import InstanceId, JobId, WorkerId
 from mangotrail.metrics import Metrics
-from mangotrail.policy import Policy
+from mangotrail.scheduler import Scheduler
 
 SendOrder: TypeAlias = Callable[[InstanceId, GatewayMessage], None]
 
@@ -99,7 +99,7 @@
         self,
         *,
         replica: Replica,
-        policy: Policy,
+        policy: Scheduler,
         fleet: Fleet,
         send_order: SendOrder,
         clock: Clock,
@@ -112,11 +112,11 @@
         self.clock = clock
         self.metrics = metrics
         self.wait_reasons: dict[JobId, str] = {}
-        self.faulty_workers: dict[JobId, str] = {}
+        self.faulty_workers: dict[JobId, WorkerId] = {}
         self.stops: dict[JobId, tuple[StopOrder, float]] = {}
         self.order_sent_s: dict[JobId, float] = {}
         self.adopted: set[JobId] = set()
-        self.quarantined: dict[str, str] = {}
+        self.quarantined: dict[WorkerId, str] = {}
         self.proposals: set[asyncio.Task[None]] = set()
         self.expired_s = clock.age_s()
 
@@ -143,6 +143,8 @@
 
     def feed(self, event: Event) -> None:
         """Give the policy one event and act on its decisions."""
+        if isinstance(event, BundleApplied):
+            self.fleet.zones = {spec.zone: spec for spec in event.bundle.zones}
         started_s = self.clock.age_s()
         decisions = self.policy.handle(event, started_s)
         elapsed_ms = (self.clock.age_s() - started_s) * 1000
@@ -159,7 +161,7 @@
         handler = _CALLS.get(type(body))
         if handler is not None:
             return await handler(self, instance, body)
-        return await self.replica.propose(body)  # type: ignore[arg-type]
+        return await self.replica.propose(body)
 
     def applied(
         self, command: Command, result: ReplyBody, before: JobRecord | None
@@ -245,9 +247,7 @@
 
     def _follow_job(self, record: JobRecord, before: JobRecord | None) -> None:
         if before is None:
-            self.feed(
-                JobSubmitted(job=record.job, job_spec=_light(record))
-            )
+            self.feed(JobSubmitted(job=record.job, job_spec=_light(record)))
             return
         if record.state is JobState.FINISHED:
             self._follow_end(record, before)
@@ -277,7 +277,7 @@
                 attempt=record.attempt,
                 outcome=record.outcome or Outcome.OUTCOME_UNKNOWN,
                 runtime_s=record.runtime_s,
-                worker=self.faulty_workers.pop(record.job, None),  # type: ignore[arg-type]
+                worker=self.faulty_workers.pop(record.job, None),
             )
         )
 
@@ -291,7 +291,7 @@
                 attempt=record.attempt,
                 nothing_ran=not record.ran,
                 reason=record.reason,
-                worker=self.faulty_workers.pop(record.job, None),  # type: ignore[arg-type]
+                worker=self.faulty_workers.pop(record.job, None),
             )
         )
 
@@ -463,7 +463,9 @@
         spec = body.job_spec
         key = (spec.account, spec.request)
         if key not in self.replica.state.job_keys:
-            self.policy.check_submission(spec)
+            refusal = self.policy.refusal(spec)
+            if refusal is not None:
+                raise refusal
         return await self.replica.propose(
             SubmitJob(job_spec=spec, origin=instance)
         )
@@ -485,9 +487,7 @@
             reason = 'this member may no longer lead'
         return ConfirmReply(granted=not reason, reason=reason)
 
-    def _confirm_obstacle(
-        self, instance: InstanceId, body: ConfirmCall
-    ) -> str:
+    def _confirm_obstacle(self, instance: InstanceId, body: ConfirmCall) -> str:
         record = self.replica.state.jobs.get(body.job)
         if record is None or record.attempt != body.attempt:
             return 'the attempt is not the current one'
@@ -598,7 +598,9 @@
     )
 
 
-_CallHandler: TypeAlias = Callable[[Leader, InstanceId, Any], Awaitable[ReplyBody]]
+_CallHandler: TypeAlias = Callable[
+    [Leader, InstanceId, Any], Awaitable[ReplyBody]
+]
 
 _CALLS: Mapping[type, _CallHandler] = {
     SubmitCall: Leader._submit,
--- a/mangotrail/_messages.py
+++ b/mangotrail/_messages.py
@@ -201,20 +201,11 @@
     )
     reason: str = ''
     attempt: Annotated[int, Meta(ge=0)] = 0
-    zone: Annotated[str, Meta(max_length=128)] | None = None
+    zone: ZoneId | None = None
     answer: bytes | None = None
     answer_sha256: str = ''
     answer_bytes: Annotated[int, Meta(ge=0)] = 0
-    holder: (
-        Annotated[
-            str,
-            Meta(
-                description='Instance that keeps an answer too large for the log.',
-                max_length=128,
-            ),
-        ]
-        | None
-    ) = None
+    holder: InstanceId | None = None
 
 
 class WriteBundle(
@@ -302,7 +293,7 @@
     service: Annotated[ServiceId, Meta(max_length=128, min_length=1)]
     zone: Annotated[ZoneId, Meta(max_length=128, min_length=1)]
     url: Annotated[str, Meta(max_length=256, min_length=1)]
-    worker: Annotated[str, Meta(max_length=128)] | None = None
+    worker: WorkerId | None = None
 
 
 class LeaveEndpoint(
@@ -397,7 +388,7 @@
     answer: bytes | None = None
     answer_sha256: str = ''
     answer_bytes: Annotated[int, Meta(ge=0)] = 0
-    holder: Annotated[str, Meta(max_length=128)] | None = None
+    holder: InstanceId | None = None
     runtime_s: Annotated[float, Meta(ge=0.0)] = 0
 
 
@@ -576,10 +567,7 @@
     attempt: Annotated[int, Meta(ge=1)]
     status: AttemptStatus
     reason: str = ''
-    worker: (
-        Annotated[str, Meta(description='Worker at fault.', max_length=128)]
-        | None
-    ) = None
+    worker: WorkerId | None = None
     answer: bytes | None = None
     answer_sha256: str = ''
     answer_bytes: int = 0
@@ -885,9 +873,9 @@
         ),
     ]
     accepted_s: float
-    zone: Annotated[str, Meta(max_length=128)] | None = None
+    zone: ZoneId | None = None
     attempt: Annotated[int, Meta(ge=0)] = 0
-    dispatcher: Annotated[str, Meta(max_length=128)] | None = None
+    dispatcher: InstanceId | None = None
     placement: Placement | None = None
     granted_s: float = 0
     started_s: float = 0
@@ -901,7 +889,7 @@
     answer: bytes | None = None
     answer_sha256: str = ''
     answer_bytes: int = 0
-    holder: Annotated[str, Meta(max_length=128)] | None = None
+    holder: InstanceId | None = None
     runtime_s: float = 0
 
 
@@ -945,7 +933,7 @@
     zone: Annotated[ZoneId, Meta(max_length=128)]
     url: str
     changed_s: float
-    worker: Annotated[str, Meta(max_length=128)] | None = None
+    worker: WorkerId | None = None
     left: bool = False
 
 
--- a/mangotrail/_peer_link.py
+++ b/mangotrail/_peer_link.py
@@ -11,6 +11,7 @@
 from mangotrail._settings import Address, PeerSettings, Settings
 from mangotrail.ids import InstanceId, MemberId
 from mangotrail.metrics import Metrics
+from mangotrail.settings import own_peer
 
 PROTOCOL_VERSION = 1
 MAX_FRAME_BYTES = 2 * 1024 * 1024
@@ -143,14 +144,6 @@
         logger.warning('Refused a frame: {}', reason)
 
 
-def own_peer(settings: Settings) -> PeerSettings:
-    """Return the entry of this instance among the peers."""
-    for peer in settings.peers:
-        if peer.instance == settings.instance:
-            return peer
-    raise LookupError(settings.instance)
-
-
 def tcp_url(address: Address) -> str:
     """Return the pyzmq form of an address."""
     host = f'[{address.host}]' if ':' in address.host else address.host
--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -3,7 +3,9 @@
 import asyncio
 import signal
 import time
+from collections.abc import Coroutine
 from contextlib import suppress
+from typing import Any
 
 import msgspec
 import zmq
@@ -39,14 +41,13 @@
 )
 from mangotrail._peer_link import Frame, FrameKind, PeerLink, tcp_url
 from mangotrail._replica import Replica, open_replica
-from mangotrail._settings import Settings
+from mangotrail._settings import Credentials, Settings
 from mangotrail.clock import Clock, SystemClock
 from mangotrail.errors import (
     MangotrailError,
     NotLeaderError,
     UnavailableError,
     UndecidedError,
-    UnknownObjectError,
 )
 from mangotrail.ids import InstanceId, JobId
 from mangotrail.metrics import Metrics, open_metrics
@@ -94,6 +95,7 @@
         self.gateway_socket = self.context.socket(zmq.ROUTER)
         self.gateway_socket.setsockopt(zmq.LINGER, 0)
         self.gateway_identity: bytes | None = None
+        self.gateway_version = 0
         self.message_decoder = msgspec.msgpack.Decoder(ControlMessage)
         self.call_decoder = msgspec.msgpack.Decoder(Call)
 
@@ -286,9 +288,10 @@
     async def _reply_to_gateway(self, identity: bytes, call: Call) -> None:
         body = await self.answer(call.body)
         reply = Reply(number=call.number, body=body)
-        await self.gateway_socket.send_multipart(
-            (identity, msgspec.msgpack.encode(reply))
-        )
+        await self.gateway_socket.send_multipart((
+            identity,
+            msgspec.msgpack.encode(reply),
+        ))
 
     async def _lead(self) -> None:
         """Create and drop the leader's work as elections decide."""
@@ -352,8 +355,6 @@
                 InForce(version=state.bundle_version, bundle=state.bundle)
             )
 
-    gateway_version = 0
-
     def _send_order(self, instance: InstanceId, order: GatewayMessage) -> None:
         if instance == self.settings.instance:
             self._push(order)
@@ -379,7 +380,7 @@
     async def _send_to_gateway(self, parts: tuple[bytes, bytes]) -> None:
         await self.gateway_socket.send_multipart(parts)
 
-    def _spawn(self, work: 'asyncio._CoroutineLike[None]') -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
@@ -398,11 +399,12 @@
     return isinstance(reply, Failure) and reply.code in RETRIED_CODES
 
 
-async def run_control(settings: Settings) -> None:
+async def run_control(settings: Settings, credentials: Credentials) -> None:
     """Run the control process until SIGTERM or SIGINT.
 
     SIGUSR1 writes a dump of the state to the log.
 
+    :param credentials: unused here; both processes are started alike.
     :raises StorageError: if the data folder cannot be used.
     """
     clock = SystemClock()
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -97,7 +97,9 @@
         assert isinstance(result, JobReply), result
         return result.view
 
-    def write(self, bundle: Bundle, parent: int, operation: str) -> CommandResult:
+    def write(
+        self, bundle: Bundle, parent: int, operation: str
+    ) -> CommandResult:
         """Write a bundle on top of a version."""
         known = self.state.bundles.get(parent)
         return self.apply(
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -190,9 +190,7 @@
         """A retry after its record was dropped must not run again."""
         driver = ready_driver()
         driver.submit(make_spec())
-        driver.apply(
-            CancelJob(account=ACCOUNT, request=make_spec().request)
-        )
+        driver.apply(CancelJob(account=ACCOUNT, request=make_spec().request))
         driver.time_s += 100_000
         driver.apply(ExpireRecords())
         assert not driver.state.jobs
