--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable, Mapping
-from typing import Any, TypeAlias
+from typing import Any, TypeAlias, cast
 
 import msgspec
 from loguru import logger
@@ -74,7 +74,7 @@
 )
 from mangotrail.guarantees import check_guarantees
 from mangotrail.ids import InstanceId, JobId, WorkerId
-from mangotrail.metrics import Metrics
+from mangotrail.metrics import DECISION_TIME, WORKERS_QUARANTINED, Metrics
 from mangotrail.scheduler import Scheduler
 
 SendOrder: TypeAlias = Callable[[InstanceId, GatewayMessage], None]
@@ -147,8 +147,7 @@
             self.fleet.zones = {spec.zone: spec for spec in event.bundle.zones}
         started_s = self.clock.age_s()
         decisions = self.policy.handle(event, started_s)
-        elapsed_ms = (self.clock.age_s() - started_s) * 1000
-        self.metrics.timing('scheduler.decision', elapsed_ms)
+        self.metrics.time(DECISION_TIME, self.clock.age_s() - started_s)
         for decision in decisions:
             _DECISIONS[type(decision)](self, decision)
 
@@ -161,7 +160,7 @@
         handler = _CALLS.get(type(body))
         if handler is not None:
             return await handler(self, instance, body)
-        return await self.replica.propose(body)
+        return await self.replica.propose(cast('CommandBody', body))
 
     def applied(
         self, command: Command, result: ReplyBody, before: JobRecord | None
@@ -450,12 +449,12 @@
 
     def _quarantine(self, decision: Quarantine) -> None:
         self.quarantined[decision.worker] = decision.reason
-        self.metrics.gauge('workers.quarantined', len(self.quarantined))
+        self.metrics.put(WORKERS_QUARANTINED, len(self.quarantined))
         logger.warning('Quarantined worker {}', decision.worker)
 
     def _release(self, decision: Release) -> None:
         self.quarantined.pop(decision.worker, None)
-        self.metrics.gauge('workers.quarantined', len(self.quarantined))
+        self.metrics.put(WORKERS_QUARANTINED, len(self.quarantined))
 
     async def _submit(
         self, instance: InstanceId, body: SubmitCall
--- a/mangotrail/_peer_link.py
+++ b/mangotrail/_peer_link.py
@@ -10,7 +10,12 @@
 
 from mangotrail._settings import Address, PeerSettings, Settings
 from mangotrail.ids import InstanceId, MemberId
-from mangotrail.metrics import Metrics
+from mangotrail.metrics import (
+    FRAMES_DROPPED,
+    FRAMES_REFUSED,
+    LINK_BYTES,
+    Metrics,
+)
 from mangotrail.settings import own_peer
 
 PROTOCOL_VERSION = 1
@@ -91,11 +96,11 @@
         )
         encoded = self.encoder.encode(frame)
         self.sent_bytes += len(encoded)
-        self.metrics.count('link.sent_bytes', len(encoded))
+        self.metrics.count(LINK_BYTES, len(encoded), kind.value)
         try:
             socket.send(encoded, zmq.NOBLOCK)
         except zmq.Again:
-            self.metrics.count('link.dropped_frames')
+            self.metrics.count(FRAMES_DROPPED)
 
     async def receive(self) -> AsyncIterator[Frame]:
         """Yield frames of this deployment; others are refused and counted."""
@@ -124,7 +129,6 @@
 
     def _accept(self, encoded: bytes) -> Frame | None:
         self.received_bytes += len(encoded)
-        self.metrics.count('link.received_bytes', len(encoded))
         try:
             frame = self.decoder.decode(encoded)
         except msgspec.MsgspecError as error:
@@ -140,7 +144,7 @@
 
     def _refuse(self, reason: str) -> None:
         self.refused_frames += 1
-        self.metrics.count('link.refused_frames')
+        self.metrics.count(FRAMES_REFUSED)
         logger.warning('Refused a frame: {}', reason)
 
 
--- a/mangotrail/commands_process.py
+++ b/mangotrail/commands_process.py
@@ -126,15 +126,18 @@
 def format_folder(settings: Settings, *, founding: bool) -> None:
     """Write the identity of the data folder.
 
-    :raises StorageError: if the folder already has an identity.
+    :raises SettingsError: if the folder already has an identity.
+    :raises StorageError: if the folder cannot be written.
     """
-    journal = import_module('mangotrail.journal')
-    journal.format_folder(
-        Path(settings.data_folder or ''),
-        deployment=settings.deployment,
-        instance=settings.instance,
-        founding=founding,
+    # Imported here so that other commands do not load the agreement.
+    from mangotrail.journal import fresh_identity, write_identity
+    from mangotrail.membership import founding_identity
+
+    make_identity = founding_identity if founding else fresh_identity
+    identity = make_identity(
+        deployment=settings.deployment, instance=settings.instance
     )
+    write_identity(Path(settings.data_folder or ''), identity)
 
 
 def _run_process(values: flags.FlagValues, process: str) -> int:
--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -50,7 +50,7 @@
     UndecidedError,
 )
 from mangotrail.ids import InstanceId, JobId
-from mangotrail.metrics import Metrics, open_metrics
+from mangotrail.metrics import FRAMES_REFUSED, Metrics, open_metrics
 from mangotrail.scheduler import Scheduler
 
 LEADER_TICK_S = 0.25
@@ -59,7 +59,7 @@
 # A later confirmation would be void, so the question is not repeated for long.
 CONFIRM_TIMEOUT_S = 2.0
 LEADER_SEARCH_S = 0.05
-HANDOVER_TIMEOUT_S = 3.0
+HANDOVER_CHECKS = 60
 RETRIED_CODES = frozenset((NotLeaderError.code, UndecidedError.code))
 
 
@@ -255,7 +255,7 @@
             message = self.message_decoder.decode(frame.body)
         except msgspec.MsgspecError as error:
             logger.warning('Refused a control message: {}', error)
-            self.metrics.count('link.refused_frames')
+            self.metrics.count(FRAMES_REFUSED)
             return
         if isinstance(message, ForwardedCall):
             self._spawn(self._reply_to(frame.instance, message))
@@ -390,9 +390,10 @@
         if not self.replica.is_leader():
             return
         self.replica.transfer_leadership()
-        deadline_s = self.clock.age_s() + HANDOVER_TIMEOUT_S
-        while self.replica.is_leader() and self.clock.age_s() < deadline_s:
+        for _ in range(HANDOVER_CHECKS):
             await asyncio.sleep(LEADER_SEARCH_S)
+            if not self.replica.is_leader():
+                return
 
 
 def _is_retried(reply: ReplyBody) -> bool:
@@ -408,7 +409,9 @@
     :raises StorageError: if the data folder cannot be used.
     """
     clock = SystemClock()
-    metrics = open_metrics(settings.statsd)
+    metrics = open_metrics(
+        settings.statsd, instance=settings.instance, process='control'
+    )
     replica = open_replica(settings=settings, clock=clock, metrics=metrics)
     link = PeerLink(settings=settings, member=replica.member, metrics=metrics)
     replica.send = link.send
--- a/mangotrail/metrics.py
+++ b/mangotrail/metrics.py
@@ -86,6 +86,20 @@
     'Bytes sent to instances of other regions, by purpose.',
     Label.PURPOSE,
 )
+LINK_BYTES = Counter(
+    'link_bytes',
+    Unit.BYTES,
+    'Bytes sent to other control processes, by purpose.',
+    Label.PURPOSE,
+)
+FRAMES_DROPPED = Counter(
+    'frames_dropped', Unit.COUNT, 'Frames for a peer that was away for long.'
+)
+FRAMES_REFUSED = Counter(
+    'frames_refused',
+    Unit.COUNT,
+    'Malformed frames and frames of other deployments or versions.',
+)
 BUNDLE_VERSION = Gauge(
     'bundle_version', Unit.VERSION, 'Bundle version in force here.'
 )
