--- /dev/null
+++ b/mangotrail/_replication.py
@@ -0,0 +1,306 @@
+"""What a leader knows about its peers, and how it feeds them the log."""
+
+from collections import Counter, deque
+from collections.abc import Iterator
+from math import inf
+
+from mangotrail._effects import Outgoing, Timing
+from mangotrail._log import Log
+from mangotrail._peer import (
+    Append,
+    AppendReply,
+    GroupMember,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotMeta,
+    SnapshotReply,
+)
+from mangotrail.ids import MemberId
+
+BATCH_BYTES = 256 << 10
+BATCHES_IN_FLIGHT = 4
+# A chunk takes about 35 ms alone on the link between regions; the retry time
+# leaves room for other traffic, because each byte there is paid for.
+CHUNK_RETRY_S = 1.5
+# A learner that lags by less than this is fed live, not catching up.
+CAUGHT_UP_ENTRIES = 64
+
+
+class Progress:
+    """State of the replication to one peer.
+
+    :param peer: the peer.
+    :param next_index: index of the next entry to send.
+    """
+
+    def __init__(self, *, peer: GroupMember, next_index: int) -> None:
+        self.peer = peer
+        self.next_index = next_index
+        self.match_index = 0
+        # One batch at a time until the peer confirms where its log matches.
+        self.probing = True
+        self.in_flight: deque[int] = deque()
+        self.acked_probe_s = -inf
+        self.sent_s = -inf
+        self.snapshot: SnapshotMeta | None = None
+        self.offset = 0
+        self.chunk_sent_s = -inf
+
+    def accept(self, match_index: int) -> None:
+        """Note that the peer holds the log durably up to an index."""
+        self.match_index = max(self.match_index, match_index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+        self.probing = False
+        while self.in_flight and self.in_flight[0] <= self.match_index:
+            self.in_flight.popleft()
+        if self.snapshot and self.match_index >= self.snapshot.index:
+            self.snapshot = None
+
+    def reject(self, previous_index: int, hint: int) -> bool:
+        """Go back to where the peer's log may match; False if outdated."""
+        if self.snapshot or previous_index <= self.match_index:
+            return False
+        if self.probing and previous_index != self.next_index - 1:
+            return False
+        self.next_index = max(
+            self.match_index + 1, min(previous_index, hint + 1)
+        )
+        self.probing = True
+        self.in_flight.clear()
+        return True
+
+    def start_snapshot(self, meta: SnapshotMeta) -> None:
+        """Send a snapshot from its first byte."""
+        self.snapshot = meta
+        self.offset = 0
+        self.chunk_sent_s = -inf
+        self.in_flight.clear()
+
+
+class Replication:
+    """Replication of the log by the leader of one term.
+
+    :param own: the leader itself.
+    :param term: its term.
+    :param log: its log; no other code replaces entries while it leads.
+    :param now_s: time at which it was elected.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: GroupMember,
+        term: int,
+        log: Log,
+        timing: Timing,
+        now_s: float,
+    ) -> None:
+        self.own = own
+        self.term = term
+        self.log = log
+        self.timing = timing
+        self.elected_s = now_s
+        self.counters: Counter[str] = Counter()
+        self.peers: dict[MemberId, Progress] = {}
+        self.voters: frozenset[MemberId] = frozenset()
+        self.seen_config_index = -1
+        self.follow_config()
+
+    def follow_config(self) -> None:
+        """Add and drop peers after a change of the configuration."""
+        if self.seen_config_index == self.log.config_index:
+            return
+        self.seen_config_index = self.log.config_index
+        config = self.log.config
+        self.voters = frozenset(voter.member for voter in config.voters)
+        named = {
+            peer.member: peer for peer in (*config.voters, *config.learners)
+        }
+        named.pop(self.own.member, None)
+        for member in set(self.peers) - set(named):
+            del self.peers[member]
+        for member, peer in named.items():
+            if member not in self.peers:
+                self.peers[member] = Progress(
+                    peer=peer, next_index=self.log.last_index + 1
+                )
+
+    def quorum_value(self, own: float, values: dict[MemberId, float]) -> float:
+        """Return the largest value that a majority of the voters reaches."""
+        ranked = sorted(
+            (
+                own if voter == self.own.member else values[voter]
+                for voter in self.voters
+            ),
+            reverse=True,
+        )
+        return ranked[len(ranked) // 2]
+
+    def match_index(self, durable_index: int) -> int:
+        """Return the last index that is durable at a majority."""
+        matches = {
+            member: float(peer.match_index)
+            for member, peer in self.peers.items()
+        }
+        return int(self.quorum_value(durable_index, matches))
+
+    def contact_s(self, now_s: float) -> float:
+        """Return when the last round was sent that a majority acknowledged.
+
+        Counting from the sending and not from the arrival of the answers
+        keeps slow answers from prolonging the leader's authority.
+        """
+        probes = {
+            member: peer.acked_probe_s for member, peer in self.peers.items()
+        }
+        return self.quorum_value(now_s, probes)
+
+    def caught_up(self, commit: int, now_s: float) -> frozenset[MemberId]:
+        """Return the members that answer and lag by a few entries at most."""
+        recent_s = now_s - self.timing.election_min_s
+        return frozenset([
+            self.own.member,
+            *(
+                member
+                for member, peer in self.peers.items()
+                if peer.acked_probe_s >= recent_s
+                and peer.match_index > 0
+                and peer.match_index >= commit - CAUGHT_UP_ENTRIES
+            ),
+        ])
+
+    def take_append_reply(self, reply: AppendReply, now_s: float) -> None:
+        """Take in the answer of a peer in the leader's term."""
+        peer = self.peers.get(reply.sender)
+        if peer is None:
+            self.counters['unknown_member'] += 1
+        elif reply.probe_s > now_s or reply.match_index > self.log.last_index:
+            self.counters['malformed'] += 1
+        else:
+            peer.acked_probe_s = max(peer.acked_probe_s, reply.probe_s)
+            if reply.accepted:
+                peer.accept(reply.match_index)
+            elif not peer.reject(reply.previous_index, reply.match_index):
+                self.counters['outdated'] += 1
+
+    def take_snapshot_reply(self, reply: SnapshotReply, now_s: float) -> None:
+        """Take in a request for the next chunk."""
+        peer = self.peers.get(reply.sender)
+        if peer is None or reply.probe_s > now_s:
+            self.counters['unknown_member'] += 1
+            return
+        peer.acked_probe_s = max(peer.acked_probe_s, reply.probe_s)
+        wanted = reply.offset > peer.offset or reply.offset == 0
+        if peer.snapshot and peer.snapshot.index == reply.index and wanted:
+            peer.offset = reply.offset
+            peer.chunk_sent_s = -inf
+        else:
+            self.counters['outdated'] += 1
+
+    def messages(
+        self, *, commit: int, snapshot: SnapshotMeta | None, now_s: float
+    ) -> Iterator[Outgoing]:
+        """Yield what is due to the peers: entries, heartbeats and chunks."""
+        for peer in self.peers.values():
+            if peer.next_index <= self.log.base_index and not peer.snapshot:
+                if snapshot is None:
+                    continue
+                peer.start_snapshot(snapshot)
+            if peer.snapshot:
+                yield from self.chunks(peer, commit, now_s)
+            else:
+                yield from self.appends(peer, commit, now_s)
+
+    def next_due_s(self) -> float:
+        """Return when the next heartbeat is due."""
+        oldest_s = min(
+            (peer.sent_s for peer in self.peers.values()), default=inf
+        )
+        return oldest_s + self.timing.heartbeat_s
+
+    def append(
+        self,
+        peer: Progress,
+        previous: tuple[int, int],
+        entries: tuple[LogEntry, ...],
+        commit: int,
+        now_s: float,
+    ) -> Outgoing:
+        """Return an append message and note its sending time."""
+        peer.sent_s = now_s
+        return Outgoing(
+            instance=peer.peer.instance,
+            message=Append(
+                to=peer.peer.member,
+                sender=self.own.member,
+                term=self.term,
+                instance=self.own.instance,
+                previous_index=previous[0],
+                previous_term=previous[1],
+                commit=commit,
+                probe_s=now_s,
+                entries=entries,
+            ),
+        )
+
+    def appends(
+        self, peer: Progress, commit: int, now_s: float
+    ) -> Iterator[Outgoing]:
+        """Yield the batches that fit the window, or a due heartbeat."""
+        window = 1 if peer.probing else BATCHES_IN_FLIGHT
+        while (
+            peer.next_index <= self.log.last_index
+            and len(peer.in_flight) < window
+        ):
+            batch = self.batch(peer.next_index)
+            previous_index = peer.next_index - 1
+            previous_term = self.log.term_at(previous_index) or 0
+            peer.next_index = batch[-1].index + 1
+            peer.in_flight.append(batch[-1].index)
+            yield self.append(
+                peer, (previous_index, previous_term), batch, commit, now_s
+            )
+        if now_s - peer.sent_s >= self.timing.heartbeat_s:
+            previous_index = peer.next_index - 1
+            previous_term = self.log.term_at(previous_index) or 0
+            yield self.append(
+                peer, (previous_index, previous_term), (), commit, now_s
+            )
+
+    def batch(self, first: int) -> tuple[LogEntry, ...]:
+        """Return entries from an index on, at least one, bounded in bytes."""
+        size = 0
+        chosen: list[LogEntry] = []
+        for entry in self.log.slice(first, self.log.last_index):
+            size += len(entry.payload)
+            if chosen and size > BATCH_BYTES:
+                break
+            chosen.append(entry)
+        return tuple(chosen)
+
+    def chunks(
+        self, peer: Progress, commit: int, now_s: float
+    ) -> Iterator[Outgoing]:
+        """Yield the chunk that is due and a heartbeat for the time between."""
+        meta = peer.snapshot
+        if meta is None:
+            return
+        if now_s - peer.chunk_sent_s >= CHUNK_RETRY_S:
+            peer.chunk_sent_s = now_s
+            yield Outgoing(
+                instance=peer.peer.instance,
+                message=SnapshotChunk(
+                    to=peer.peer.member,
+                    sender=self.own.member,
+                    term=self.term,
+                    instance=self.own.instance,
+                    meta=meta,
+                    offset=peer.offset,
+                    total=0,
+                    checksum=0,
+                    body=b'',
+                    probe_s=now_s,
+                ),
+            )
+        if now_s - peer.sent_s >= self.timing.heartbeat_s:
+            yield self.append(peer, (meta.index, meta.term), (), commit, now_s)
--- a/mangotrail/errors.py
+++ b/mangotrail/errors.py
@@ -175,6 +175,14 @@
     status = HTTPStatus.SERVICE_UNAVAILABLE
 
 
+class MembershipError(MangotrailError):
+    """A change of the agreement group is not safe at this moment."""
+
+    code = 'membership_change'
+    status = HTTPStatus.CONFLICT
+    not_run = True
+
+
 class StorageError(MangotrailError):
     """The journal cannot be written or synced."""
 
--- /dev/null
+++ b/tests/simulation.py
@@ -0,0 +1,424 @@
+"""A group of members with simulated network, disks, clocks and faults.
+
+Checks on every step: one leader in a term, at most one member with authority,
+matching logs, and the same committed sequence at every member.
+"""
+
+from collections.abc import Callable, Collection
+from heapq import heappop, heappush
+from random import Random
+from zlib import crc32
+
+import msgspec
+
+from mangotrail._effects import (
+    Effects,
+    Outgoing,
+    Role,
+    Snapshot,
+    SnapshotPart,
+)
+from mangotrail._messages import ZoneState
+from mangotrail._peer import EntryKind, GroupConfig, HardState, LogEntry
+from mangotrail.agreement import Agreement
+from mangotrail.errors import MangotrailError
+from mangotrail.ids import InstanceId, MemberId, ZoneId
+from mangotrail.membership import (
+    GroupView,
+    InstancePlace,
+    founding_config,
+    founding_member,
+    next_config,
+    transfer_target,
+)
+
+TICK_S = 0.05
+CHUNK_BYTES = 64 << 10
+
+
+class Disk:
+    """What survives a crash of one member."""
+
+    def __init__(self) -> None:
+        self.snapshot: Snapshot | None = None
+        self.hard_state = HardState(term=0, voted_for=MemberId(''))
+        self.entries: dict[int, LogEntry] = {}
+        self.unsynced: list[Effects] = []
+
+    def sync(self, write: int) -> None:
+        while self.unsynced and self.unsynced[0].write <= write:
+            effects = self.unsynced.pop(0)
+            if effects.install:
+                self.snapshot = effects.install
+                self.entries = {}
+            if effects.hard_state:
+                self.hard_state = effects.hard_state
+            for entry in effects.entries:
+                stale = entry.index
+                while stale in self.entries:
+                    del self.entries[stale]
+                    stale += 1
+                self.entries[entry.index] = entry
+
+    def log(self) -> tuple[LogEntry, ...]:
+        base = self.snapshot.meta.index if self.snapshot else 0
+        return tuple(
+            self.entries[at] for at in sorted(self.entries) if at > base
+        )
+
+
+class Node:
+    """One instance: its current member, disk, clock and state machine."""
+
+    def __init__(self, place: InstancePlace, random: Random) -> None:
+        self.place = place
+        self.random = random
+        self.offset_s = random.uniform(0, 1000)
+        self.rate = random.uniform(0.97, 1.03)
+        self.member = MemberId('')
+        self.agreement: Agreement | None = None
+        self.frozen_until_s = 0.0
+        self.generation = 0
+        self.identities = 0
+        self.applied: list[bytes] = []
+        self.disk = Disk()
+
+    def start(self, config: GroupConfig, *, fresh: bool) -> None:
+        self.generation += 1
+        if fresh:
+            self.disk = Disk()
+            self.identities += 1
+            self.member = MemberId(f'{self.place.instance}#{self.identities}')
+            config = GroupConfig(voters=(), learners=())
+        self.disk.unsynced.clear()
+        snapshot = self.disk.snapshot
+        self.applied = decode(snapshot.body) if snapshot else []
+        self.agreement = Agreement(
+            member=self.member,
+            instance=self.place.instance,
+            log=self.disk.log(),
+            hard_state=self.disk.hard_state,
+            config=config,
+            seed=self.random.randrange(1 << 30),
+            snapshot=snapshot.meta if snapshot else None,
+            can_vote=self.place.has_disk,
+        )
+
+
+def decode(body: bytes) -> list[bytes]:
+    return msgspec.msgpack.decode(body, type=list[bytes])
+
+
+class Simulation:
+    """Instances ``i0``.. in zones ``z0``..; the first ones have disks."""
+
+    def __init__(self, seed: int, *, disks: int = 3, diskless: int = 1) -> None:
+        self.random = Random(seed)
+        self.now_s = 0.0
+        self.events: list[tuple[float, int, Callable[[], None]]] = []
+        self.count = 0
+        places = [
+            InstancePlace(
+                instance=InstanceId(f'i{number}'),
+                zone=ZoneId(f'z{number % 3}'),
+                has_disk=number < disks,
+            )
+            for number in range(disks + diskless)
+        ]
+        self.places = {place.instance: place for place in places}
+        self.nodes = {
+            place.instance: Node(place, self.random) for place in places
+        }
+        self.founding = founding_config(places)
+        self.zones = dict.fromkeys(
+            (place.zone for place in places), ZoneState.IN
+        )
+        self.loss = 0.0
+        self.copies = 0.0
+        self.latency_s = 0.01
+        self.sync_s = 0.01
+        self.groups: dict[InstanceId, int] = {}
+        self.leaders: dict[int, MemberId] = {}
+        self.seen: dict[tuple[int, int], tuple[LogEntry, int]] = {}
+        # The reference: one list, in the order of the first commit.
+        self.committed: list[LogEntry] = []
+        self.bytes_sent = 0
+        for node in self.nodes.values():
+            node.member = founding_member(node.place.instance)
+            node.start(self.founding, fresh=not node.place.has_disk)
+            self.at(0, self.ticker(node))
+
+    # Events.
+
+    def at(self, delay_s: float, action: Callable[[], None]) -> None:
+        self.count += 1
+        heappush(self.events, (self.now_s + delay_s, self.count, action))
+
+    def run(self, seconds: float) -> None:
+        end_s = self.now_s + seconds
+        while self.events[0][0] <= end_s:
+            self.now_s, _, action = heappop(self.events)
+            action()
+            self.check_authority()
+        self.now_s = end_s
+
+    def run_until(self, done: Callable[[], bool], limit_s: float) -> None:
+        end_s = self.now_s + limit_s
+        while not done():
+            assert self.now_s < end_s, 'no progress'
+            self.run(TICK_S)
+
+    def clock_s(self, node: Node) -> float:
+        return node.offset_s + self.now_s * node.rate
+
+    def later(
+        self, node: Node, delay_s: float, call: Callable[[], None]
+    ) -> None:
+        """Call after a delay, after a freeze, and only before a crash."""
+        generation = node.generation
+
+        def action() -> None:
+            if node.generation != generation or node.agreement is None:
+                return
+            if node.frozen_until_s > self.now_s:
+                self.at(node.frozen_until_s - self.now_s, action)
+            else:
+                call()
+
+        self.at(delay_s, action)
+
+    def ticker(self, node: Node) -> Callable[[], None]:
+        def action() -> None:
+            self.at(TICK_S, action)
+            if node.agreement and node.frozen_until_s <= self.now_s:
+                effects = node.agreement.tick(self.clock_s(node))
+                self.carry_out(node, effects)
+                self.care(node)
+
+        return action
+
+    # The driver of one member.
+
+    def carry_out(self, node: Node, effects: Effects) -> None:
+        agreement = node.agreement
+        if effects.role is Role.LEADER:
+            held = self.leaders.setdefault(effects.term, node.member)
+            assert held == node.member, 'two leaders in a term'
+        if effects.must_sync:
+            self.check_matching(node, effects.entries)
+            node.disk.unsynced.append(effects)
+            self.later(
+                node,
+                self.random.uniform(0, 2 * self.sync_s),
+                lambda: self.sync(node, effects.write),
+            )
+        if effects.install:
+            node.applied = decode(effects.install.body)
+        for entry in effects.committed:
+            self.commit(node, entry)
+        if effects.snapshot_due:
+            self.take_snapshot(node, effects)
+        for out in effects.messages:
+            self.send(node, out)
+        for chunk in effects.chunks:
+            snapshot = node.disk.snapshot
+            message = chunk.message
+            if snapshot and snapshot.meta == message.meta:
+                start = message.offset
+                part = SnapshotPart(
+                    body=snapshot.body[start : start + CHUNK_BYTES],
+                    total=len(snapshot.body),
+                    checksum=crc32(snapshot.body),
+                )
+                self.send(node, agreement.fill_chunk(chunk, part))
+
+    def sync(self, node: Node, write: int) -> None:
+        node.disk.sync(write)
+        effects = node.agreement.synced(write, self.clock_s(node))
+        self.carry_out(node, effects)
+
+    def take_snapshot(self, node: Node, effects: Effects) -> None:
+        body = msgspec.msgpack.encode(node.applied)
+        snapshot = Snapshot(meta=effects.snapshot_due, body=body)
+        # Taking a snapshot syncs what was appended before.
+        if node.disk.unsynced:
+            node.disk.sync(effects.write)
+        node.disk.snapshot = snapshot
+        node.agreement.compact(snapshot.meta)
+
+    def care(self, node: Node) -> None:
+        """Do what the control process of a leader does for the group."""
+        agreement, now_s = node.agreement, self.clock_s(node)
+        if not agreement.has_authority(now_s):
+            return
+        view = GroupView(
+            config=agreement.config,
+            leader=node.member,
+            joining=agreement.joining(now_s),
+            caught_up=agreement.caught_up(now_s),
+            places=self.places,
+            zones=self.zones,
+        )
+        try:
+            target = transfer_target(view)
+            wanted = next_config(view)
+            if target:
+                effects = agreement.transfer(now_s, target=target)
+                self.carry_out(node, effects)
+            elif wanted:
+                agreement.propose_config(wanted, now_s)
+        except MangotrailError:
+            return
+
+    # Network.
+
+    def send(self, node: Node, out: Outgoing) -> None:
+        self.bytes_sent += len(msgspec.msgpack.encode(out.message))
+        targets = [out.instance] if out.instance else list(self.nodes)
+        for target in targets:
+            if target != node.place.instance:
+                self.transmit(node.place.instance, target, out)
+
+    def transmit(
+        self, source: InstanceId, target: InstanceId, out: Outgoing
+    ) -> None:
+        copies = 1 + (self.random.random() < self.copies)
+        for _ in range(copies):
+            if self.random.random() < self.loss:
+                continue
+            delay_s = self.random.expovariate(1 / self.latency_s)
+            self.at(delay_s, lambda: self.arrive(source, target, out))
+
+    def arrive(
+        self, source: InstanceId, target: InstanceId, out: Outgoing
+    ) -> None:
+        node = self.nodes[target]
+        if self.groups.get(source, 0) != self.groups.get(target, 0):
+            return
+        if node.agreement is None:
+            return
+
+        def call() -> None:
+            now_s = self.clock_s(node)
+            self.carry_out(node, node.agreement.receive(out.message, now_s))
+
+        if node.frozen_until_s > self.now_s:
+            self.later(node, 0, call)
+        else:
+            call()
+
+    # Checks.
+
+    def check_authority(self) -> None:
+        holders = [
+            node.member
+            for node in self.nodes.values()
+            if node.agreement
+            and node.agreement.has_authority(self.clock_s(node))
+        ]
+        assert len(holders) < 2, f'authority of {holders}'
+
+    def check_matching(self, node: Node, entries: Collection[LogEntry]) -> None:
+        for entry in entries:
+            before = node.agreement.log.term_at(entry.index - 1)
+            seen = self.seen.setdefault(
+                (entry.index, entry.term), (entry, before or 0)
+            )
+            assert seen == (entry, before or 0), 'logs do not match'
+
+    def commit(self, node: Node, entry: LogEntry) -> None:
+        if entry.index == len(self.committed) + 1:
+            self.committed.append(entry)
+        assert self.committed[entry.index - 1] == entry, 'committed and lost'
+        if entry.kind is EntryKind.COMMAND:
+            node.applied.append(entry.payload)
+
+    @property
+    def reference(self) -> list[bytes]:
+        return [
+            entry.payload
+            for entry in self.committed
+            if entry.kind is EntryKind.COMMAND
+        ]
+
+    # Faults and requests.
+
+    def crash(self, instance: InstanceId) -> None:
+        node = self.nodes[instance]
+        node.agreement = None
+        node.generation += 1
+        node.frozen_until_s = 0
+
+    def restart(self, instance: InstanceId) -> None:
+        node = self.nodes[instance]
+        if node.agreement is None:
+            node.start(self.founding, fresh=not node.place.has_disk)
+
+    def can_lose_disk(self, instance: InstanceId) -> bool:
+        """Whether the loss leaves every committed entry on a majority."""
+        alive = {node.member for node in self.nodes.values()}
+        return all(
+            len(node.agreement.config.voters) >= 3
+            and {voter.member for voter in node.agreement.config.voters}
+            <= alive
+            for node in self.nodes.values()
+            if node.agreement and node.agreement.is_member
+        ) and all(node.agreement for node in self.nodes.values())
+
+    def lose_disk(self, instance: InstanceId) -> None:
+        if self.can_lose_disk(instance):
+            self.crash(instance)
+            self.nodes[instance].start(self.founding, fresh=True)
+
+    def leader(self) -> Node | None:
+        for node in self.nodes.values():
+            if node.agreement and node.agreement.has_authority(
+                self.clock_s(node)
+            ):
+                return node
+        return None
+
+    def propose(self, payload: bytes) -> bool:
+        node = self.leader()
+        if node is None or node.frozen_until_s > self.now_s:
+            return False
+        try:
+            node.agreement.propose(payload, self.clock_s(node))
+        except MangotrailError:
+            return False
+        return True
+
+    def settle(self) -> None:
+        """End all faults and wait until the whole group is well again."""
+        self.loss = self.copies = 0
+        self.latency_s = self.sync_s = 0.01
+        self.groups = {}
+        self.zones = dict.fromkeys(self.zones, ZoneState.IN)
+        for instance, node in self.nodes.items():
+            node.frozen_until_s = min(node.frozen_until_s, self.now_s)
+            if node.agreement and node.agreement.role is Role.STOPPED:
+                self.crash(instance)
+            self.restart(instance)
+        self.run_until(self.is_whole, 20)
+        assert self.propose(b'last')
+        self.run_until(
+            lambda: all(
+                self.reference[-1:] == [b'last']
+                and node.applied == self.reference
+                for node in self.nodes.values()
+            ),
+            2,
+        )
+
+    def is_whole(self) -> bool:
+        """Whether all disks vote, all members are in, and one leads."""
+        node = self.leader()
+        if node is None:
+            return False
+        config = node.agreement.config
+        voters = {voter.member for voter in config.voters}
+        learners = {learner.member for learner in config.learners}
+        return node.agreement.log.config_index <= node.agreement.commit and all(
+            other.member in (voters if other.place.has_disk else learners)
+            for other in self.nodes.values()
+        )
