--- a/tools/make_deployment.py
+++ b/tools/make_deployment.py
@@ -150,7 +150,9 @@
 def _write_bundle(folder: Path, bundle: Bundle, ports: dict[str, int]) -> Path:
     document = msgspec.to_builtins(bundle)
     for zone in document['zones']:
-        zone['platform_url'] = f'http://{HOST}:{ports[zone["zone"]]}'
+        zone['platform_url'] = (
+            f'http://{HOST}:{ports[zone["zone"]]}/zones/{zone["zone"]}'
+        )
     path = folder / 'bundle.json'
     path.write_text(_json(document))
     return path
