--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -2,17 +2,22 @@
 
 import heapq
 from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
 from enum import Enum
 from random import Random
+from typing import NamedTuple
 
-from mangotrail._bundle import Bundle
+from mangotrail._bundle import Bundle, ZoneSpec
 from mangotrail._endpoint_choice import EndpointTable
 from mangotrail._jobs import Job, Phase
 from mangotrail._messages import Outcome
+from mangotrail.estimates import Estimates
 from mangotrail.events import Decision, Finish, Stop, Wait
 from mangotrail.fairness import AccountQueue, Shares
+from mangotrail.guarantees import Avoided, Guarantees, Keep, PlannedCell
 from mangotrail.ids import JobId
-from mangotrail.topology import Hold, Spot, Topology
+from mangotrail.placement import Want
+from mangotrail.topology import Hold, Spot, Topology, Zone
 
 
 class TimerKind(Enum):
@@ -23,6 +28,22 @@
     STOP = 'stop'
 
 
+class Pending(NamedTuple):
+    """Where a job will start once its claim is free.
+
+    :param before_s: expected time, minus infinity if others were preempted.
+    """
+
+    zone: Zone
+    spots: tuple[Spot, ...]
+    before_s: float
+
+    @property
+    def is_reservation(self) -> bool:
+        """Tell whether the holders end by themselves."""
+        return self.before_s > float('-inf')
+
+
 class Core:
     """Jobs, resources and timers of the scheduler.
 
@@ -33,14 +54,21 @@
     def __init__(self, seed: int) -> None:
         self.bundle: Bundle | None = None
         self.topology: Topology | None = None
+        self.zone_specs: Sequence[ZoneSpec] = ()
         self.shares = Shares()
         self.endpoints = EndpointTable()
+        self.estimates = Estimates()
+        self.guarantees = Guarantees()
+        self.claims: dict[JobId, Pending] = {}
         self.jobs: dict[JobId, Job] = {}
         self.random = Random(seed)
         self.counters: Counter[str] = Counter()
         self.now_s = 0.0
         self.out: list[Decision] = []
         self.freed = 0
+        self.planned_at = -1
+        # Jobs queued since the queues were last gone through.
+        self.fresh: list[Job] = []
         self.timers: list[tuple[float, int, TimerKind, JobId, int]] = []
         self.timer_count = 0
 
@@ -65,11 +93,53 @@
             due.append((kind, job, attempt))
         return due
 
+    def want(self, job: Job) -> Want:
+        """Return the gang of a job with its expected end."""
+        longest = self.estimates.longest_s(job.kind)
+        ends_s = float('inf') if longest is None else self.now_s + longest
+        return Want(
+            job=job.job,
+            account=job.account,
+            shape=job.spec.shape,
+            pinned=job.pinned,
+            urgent=job.spec.urgent,
+            ends_s=ends_s,
+        )
+
+    def expected_end_s(self, job_id: JobId) -> float:
+        """Return when a running job is expected to end."""
+        job = self.jobs[job_id]
+        if job.stopping or job.checkpointed:
+            return self.now_s
+        running_s = self.now_s - job.started_s
+        return self.now_s + self.estimates.remaining_s(job.kind, running_s)
+
+    def drop_claim(self, job: Job) -> None:
+        """End the claim of a job, which then counts as queued nowhere."""
+        for spot in self.claims.pop(job.job).spots:
+            spot.worker.drop_claim(job.job)
+        self.queue_of(job).queued -= 1
+        self.freed += 1
+
+    def return_claim(self, job: Job) -> None:
+        """End the claim of a job and put it back into its line."""
+        self.drop_claim(job)
+        job.phase = Phase.QUEUED
+        self.queue_of(job).push_back(job)
+
+    def unqueue(self, job: Job) -> None:
+        """Take a job out of its queue, whatever it waits for."""
+        if job.phase is Phase.QUEUED:
+            self.queue_of(job).remove(job)
+        elif job.phase is Phase.CLAIMING:
+            self.drop_claim(job)
+
     def enqueue(self, job: Job) -> None:
         """Let a job wait for a placement."""
         job.phase = Phase.QUEUED
         job.wait_reason = ''
         self.queue_of(job).push(job)
+        self.fresh.append(job)
 
     def wait(self, job: Job, reason: str) -> None:
         """Tell why a job waits if the reason changed."""
@@ -80,47 +150,97 @@
     def hold(self, job: Job, spots: tuple[Spot, ...]) -> None:
         """Give a job its resources."""
         job.spots = spots
-        charged = 0
         for spot in spots:
-            own = spot.worker.own.get(job.account, 0)
-            outside = [mask for mask in spot.masks if not mask or mask & ~own]
-            members = len(spot.masks)
-            charged += (spot.mask & ~own).bit_count()
-            spot.worker.hold(
-                job.job,
-                Hold(
-                    account=job.account,
-                    mask=spot.mask,
-                    slots=members,
-                    connections=members if spot.mask else 0,
-                    pinned=job.pinned,
-                    urgent=job.spec.urgent,
-                    outside=len(outside),
-                ),
-            )
+            spot.worker.hold(job.job, _hold(job, spot))
         queue = self.queue_of(job)
-        job.charged = charged
         queue.running += 1
-        queue.charged += charged
         queue.held += sum(spot.mask.bit_count() for spot in spots)
+        self.charge(job)
 
-    def release(self, job: Job) -> None:
-        """Take back the resources of a job."""
+    def charge(self, job: Job) -> None:
+        """Charge a job for what it holds outside its own guarantee."""
+        charged = 0
+        for spot in job.spots:
+            own = spot.worker.own.get(job.account, 0)
+            charged += (spot.mask & ~own).bit_count()
+        self.queue_of(job).charged += charged - job.charged
+        job.charged = charged
+
+    def unhold(self, job: Job) -> None:
+        """Take back what a job holds."""
         queue = self.queue_of(job)
         queue.running -= 1
         queue.charged -= job.charged
+        job.charged = 0
         for spot in job.spots:
             queue.held -= spot.mask.bit_count()
             spot.worker.release(job.job)
+        job.spots = ()
+
+    def release(self, job: Job) -> None:
+        """Take back the resources of an attempt that ended."""
+        self.unhold(job)
         if job.placement is not None:
             self.endpoints.busy[job.placement.endpoint] -= 1
-        job.spots = ()
         job.placement = None
-        job.charged = 0
         job.stopping = ''
         job.checkpointed = False
+        job.stop_due_s = float('inf')
         self.freed += 1
 
+    def plan_guarantees(self, *, keep: Keep = Keep.ALL) -> None:
+        """Give guaranteed cells homes."""
+        assert self.topology is not None and self.bundle is not None
+        homes = self.guarantees.propose(
+            self.topology, self.bundle.accounts, keep=keep
+        )
+        self._adopt(homes)
+        self.planned_at = self.freed
+
+    def make_room(self, job: Job, spots: Iterable[Spot]) -> bool:
+        """Move homes of other accounts away from spots.
+
+        :returns: whether every cell that had a home still has one; otherwise
+            nothing is moved.
+        """
+        assert self.topology is not None and self.bundle is not None
+        avoid = [
+            Avoided(spot.worker, job.account, spot.mask, len(spot.masks))
+            for spot in spots
+        ]
+        avoid += [
+            Avoided(spot.worker, owner.account, spot.mask, len(spot.masks))
+            for owner, spot in self._claimed_spots()
+            if owner.pinned
+        ]
+        for keep in (Keep.ALL, Keep.USED):
+            homes = self.guarantees.propose(
+                self.topology, self.bundle.accounts, keep=keep, avoid=avoid
+            )
+            lost = sum(not home for _, home in homes)
+            if lost <= len(self.guarantees.suspended):
+                self._adopt(homes)
+                return True
+        return False
+
+    def _claimed_spots(self) -> Iterator[tuple[Job, Spot]]:
+        for job_id, pending in self.claims.items():
+            for spot in pending.spots:
+                yield self.jobs[job_id], spot
+
+    def _adopt(self, homes: list[PlannedCell]) -> None:
+        assert self.topology is not None
+        changed = self.guarantees.adopt(self.topology, homes)
+        concerned = {job_id for worker in changed for job_id in worker.holds}
+        for job_id in sorted(concerned):
+            job = self.jobs[job_id]
+            for spot in job.spots:
+                spot.worker.release(job.job)
+                spot.worker.hold(job.job, _hold(job, spot))
+            self.charge(job)
+        if changed:
+            self.freed += 1
+
     def stop(self, job: Job, reason: str) -> None:
         """Order the stop of an attempt once."""
         if not job.stopping:
@@ -135,3 +255,19 @@
         self.out.append(
             Finish(job=job.job, outcome=outcome, ran=job.ran, reason=reason)
         )
+
+
+def _hold(job: Job, spot: Spot) -> Hold:
+    own = spot.worker.own.get(job.account, 0)
+    members = len(spot.masks)
+    outside = sum(not mask or bool(mask & ~own) for mask in spot.masks)
+    return Hold(
+        account=job.account,
+        mask=spot.mask,
+        slots=members,
+        connections=members if spot.mask else 0,
+        pinned=job.pinned,
+        urgent=job.spec.urgent,
+        outside=outside,
+        outside_connections=outside if spot.mask else 0,
+    )
--- a/mangotrail/_ending.py
+++ b/mangotrail/_ending.py
@@ -36,7 +36,7 @@
     elif job.ran and not job.spec.idempotent:
         core.finish(job, Outcome.OUTCOME_UNKNOWN, event.reason)
     elif is_late(core, job):
-        finish_late(core, job)
+        finish_waiting(core, job, 'deadline passed')
     elif stopped:
         core.enqueue(job)
     else:
@@ -48,9 +48,9 @@
     job.failures += 1
     queue = core.queue_of(job)
     if job.failures >= core.bundle.limits.max_attempts:
-        _give_up(core, job, f'no attempts left: {reason}')
+        finish_waiting(core, job, f'no attempts left: {reason}')
     elif not queue.may_retry():
-        _give_up(core, job, f'retry budget used: {reason}')
+        finish_waiting(core, job, f'retry budget used: {reason}')
     else:
         queue.retries += 1
         job.phase = Phase.DELAYED
@@ -65,11 +65,6 @@
     return core.random.uniform(RETRY_FIRST_S, longest)
 
 
-def _give_up(core: Core, job: Job, reason: str) -> None:
-    outcome = Outcome.OUTCOME_UNKNOWN if job.ran else Outcome.NOT_RUN
-    core.finish(job, outcome, reason)
-
-
 def on_finished(core: Core, event: JobFinished) -> Job | None:
     """End a job that its endpoint answered."""
     job = attempt_of(core, event.job, event.attempt, 'stale_job_finished')
@@ -90,8 +85,7 @@
     if job.active:
         core.stop(job, 'cancelled')
         return
-    if job.phase is Phase.QUEUED:
-        core.queue_of(job).remove(job)
+    core.unqueue(job)
     core.finish(job, Outcome.CANCELLED, 'cancelled')
 
 
@@ -101,10 +95,10 @@
     return limit is not None and core.now_s >= job.submitted_s + limit
 
 
-def finish_late(core: Core, job: Job) -> None:
-    """End a job that waits past its deadline."""
+def finish_waiting(core: Core, job: Job, reason: str) -> None:
+    """End a job that waits and gets no further attempt."""
     outcome = Outcome.OUTCOME_UNKNOWN if job.ran else Outcome.NOT_RUN
-    core.finish(job, outcome, 'deadline passed')
+    core.finish(job, outcome, reason)
 
 
 def on_timer(core: Core, kind: TimerKind, job_id: JobId, attempt: int) -> None:
@@ -114,12 +108,12 @@
         return
     if kind is TimerKind.DEADLINE:
         if not job.active:
-            if job.phase is Phase.QUEUED:
-                core.queue_of(job).remove(job)
-            finish_late(core, job)
+            core.unqueue(job)
+            finish_waiting(core, job, 'deadline passed')
     elif job.attempt != attempt:
         return
     elif kind is TimerKind.RETRY and job.phase is Phase.DELAYED:
         core.enqueue(job)
     elif kind is TimerKind.STOP and job.active:
-        core.stop(job, 'preempted')
+        if job.stop_due_s <= core.now_s:
+            core.stop(job, job.stop_reason)
--- /dev/null
+++ b/mangotrail/_inventory.py
@@ -0,0 +1,105 @@
+"""Takes over bundles and the state of workers."""
+
+from mangotrail._core import Core
+from mangotrail._ending import finish_waiting
+from mangotrail._jobs import Job
+from mangotrail.events import BundleApplied, WorkersReported
+from mangotrail.placement import zones_that_hold
+from mangotrail.topology import Spot, Topology, Worker, spots_of
+
+
+def apply_bundle(core: Core, event: BundleApplied) -> None:
+    """Put a bundle in force; jobs, queues and claims go on."""
+    old = core.topology
+    core.bundle = event.bundle
+    if old is None or core.zone_specs != event.bundle.zones:
+        for job_id in tuple(core.claims):
+            core.return_claim(core.jobs[job_id])
+        core.zone_specs = event.bundle.zones
+        core.topology = Topology(event.bundle)
+        if old is not None:
+            _take_over(core, old, core.topology)
+    assert core.topology is not None
+    core.shares.apply(
+        list(event.bundle.accounts),
+        sum(worker.accelerators for worker in core.topology.walk()),
+    )
+    core.plan_guarantees()
+    core.freed += 1
+    for job in list(core.jobs.values()):
+        if not job.active and not zones_that_hold(
+            core.topology, job.spec.shape
+        ):
+            core.unqueue(job)
+            finish_waiting(core, job, 'no inventory of the bundle can hold it')
+
+
+def _take_over(core: Core, old: Topology, new: Topology) -> None:
+    for zone_id, zone in old.zones.items():
+        if zone_id in new.zones:
+            new.zones[zone_id].state = zone.state
+            new.zones[zone_id].ramp_left = zone.ramp_left
+            new.zones[zone_id].ramp_ends_s = zone.ramp_ends_s
+    for worker_id, worker in old.workers.items():
+        if worker_id in new.workers:
+            new.workers[worker_id].healthy = worker.healthy
+            new.workers[worker_id].quarantined = worker.quarantined
+    for job in core.jobs.values():
+        if job.active:
+            _hold_again(core, job, new)
+
+
+def _hold_again(core: Core, job: Job, topology: Topology) -> None:
+    core.unhold(job)
+    if hold_placement(core, job, topology):
+        core.stop(job, 'worker left the bundle')
+
+
+def hold_placement(core: Core, job: Job, topology: Topology) -> bool:
+    """Give a job what its placement names, as far as it is free.
+
+    :returns: whether anything was missing.
+    """
+    assert job.placement is not None
+    members = job.placement.members
+    named = spots_of(
+        topology, [(one.worker, one.accelerators) for one in members]
+    )
+    spots = [_free_part(spot) for spot in named]
+    core.hold(job, tuple(spot for spot in spots if spot.masks))
+    return named != spots or sum(len(one.masks) for one in named) < len(members)
+
+
+def _free_part(spot: Spot) -> Spot:
+    """Leave out members that would count anything twice."""
+    worker = spot.worker
+    slots = min(worker.free_slots, worker.free_connections)
+    masks: list[int] = []
+    taken = ~worker.free
+    for mask in spot.masks:
+        if not mask & taken and len(masks) < slots:
+            masks.append(mask)
+            taken |= mask
+    return Spot(worker=worker, masks=tuple(masks))
+
+
+def report_workers(core: Core, event: WorkersReported) -> None:
+    """Take in which workers are healthy."""
+    changed = False
+    for status in event.workers:
+        worker = core.topology and core.topology.workers.get(status.worker)
+        if not worker:
+            core.counters['unknown_worker'] += 1
+        elif worker.healthy != status.healthy:
+            changed = True
+            worker.healthy = status.healthy
+            if not status.healthy:
+                _lose(core, worker)
+    if changed:
+        core.freed += 1
+        core.plan_guarantees()
+
+
+def _lose(core: Core, worker: Worker) -> None:
+    for job_id in list(worker.holds):
+        core.stop(core.jobs[job_id], f'worker {worker.worker} lost')
--- a/mangotrail/_jobs.py
+++ b/mangotrail/_jobs.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from mangotrail._messages import JobShape, JobSpec, Placement
+from mangotrail.estimates import Kind
 from mangotrail.ids import AccountId, JobId, ServiceId
 from mangotrail.topology import Spot
 
@@ -12,6 +13,7 @@
     """Progress of a job inside the scheduler."""
 
     QUEUED = 'queued'
+    CLAIMING = 'claiming'
     DELAYED = 'delayed'
     PLACED = 'placed'
     RUNNING = 'running'
@@ -45,12 +47,15 @@
         'deadline_passed',
         'stopping',
         'checkpointed',
+        'stop_due_s',
+        'stop_reason',
         'placement',
         'spots',
         'started_s',
         'charged',
         'wait_reason',
         'throttled_s',
+        'moves',
     )
 
     def __init__(
@@ -69,6 +74,8 @@
         # Reason of the stop that was ordered, empty if none was.
         self.stopping = ''
         self.checkpointed = False
+        self.stop_due_s = float('inf')
+        self.stop_reason = ''
         self.placement: Placement | None = None
         self.spots: tuple[Spot, ...] = ()
         self.started_s = 0.0
@@ -76,6 +83,8 @@
         self.charged = 0.0
         self.wait_reason = ''
         self.throttled_s = 0.0
+        # Choices tried so far to move homes of cells away.
+        self.moves = 0
 
     @property
     def account(self) -> AccountId:
@@ -97,6 +106,11 @@
         """Tell whether the current attempt is known to have begun."""
         return self.phase is Phase.RUNNING
 
+    @property
+    def kind(self) -> Kind:
+        """Return the kind whose run times and sizes are learned."""
+        return Kind(self.spec.account, self.spec.job_kind)
+
     @property
     def key(self) -> QueueKey:
         """Return what decides where the job can be placed."""
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -1,18 +1,45 @@
 """Starts queued jobs."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
+from typing import NamedTuple, TypeVar
 
 from mangotrail._blocks import bits_of
 from mangotrail._core import Core
 from mangotrail._jobs import Job, Phase
 from mangotrail._messages import MemberPlacement, Placement
+from mangotrail._preemption import claim, is_broken, is_ready, reclaim
+from mangotrail._reservation import Reservation, reservations
 from mangotrail.events import EndpointStatus, Place
-from mangotrail.placement import Reach, Want, place_in_zone, zones_that_hold
+from mangotrail.placement import (
+    Reach,
+    Want,
+    choices_in_zone,
+    place_in_zone,
+    zones_that_hold,
+)
 from mangotrail.topology import Spot, Zone
 
 # Placement searches in one call of handle(); the rest waits for the next call,
 # which bounds the decision time.
-MAX_SEARCHES = 24
+MAX_SEARCHES = 16
+# A head of the queue that waited this long reserves capacity. Reserving at
+# once would hold capacity back for jobs that start soon anyway.
+RESERVE_AFTER_S = 60.0
+# Each reservation keeps capacity idle until it is complete.
+MAX_RESERVATIONS = 4
+# Choices from which homes are moved away in one call of handle().
+MAX_MOVES = 2
+# The queues are gone through again this often even if nothing changed,
+# because jobs become old enough to reserve capacity.
+REVIEW_S = 10.0
+
+
+class _Found(NamedTuple):
+    zone: Zone
+    spots: list[Spot]
+
+
+_Movable = TypeVar('_Movable', _Found, Reservation)
 
 
 class Starter:
@@ -21,86 +48,213 @@
     def __init__(self, core: Core) -> None:
         self.core = core
         self.searches = 0
-        # Placement requests that failed since capacity was last freed.
+        # Searches that failed since capacity was last freed.
         self.failed: set[tuple[object, ...]] = set()
         self.failed_at = -1
+        self.unfinished = False
+        # Moving homes is slow, so it is tried once in a call of handle().
+        self.moved = False
+        self.reviewed_s = float('-inf')
 
     def run(self) -> None:
         """Place every queued job that fits, best rank first."""
+        core = self.core
         self.searches = 0
-        if self.core.topology is None:
+        self.moved = False
+        if core.topology is None:
+            return
+        self._serve_claims()
+        changed = self.failed_at != core.freed or self.unfinished
+        if changed or core.now_s >= self.reviewed_s + REVIEW_S:
+            self._review()
             return
-        for job in self.core.shares.in_order(self.core.now_s):
+        fresh, core.fresh = core.fresh, []
+        for job in fresh:
+            if job.phase is Phase.QUEUED:
+                self.try_start(job)
+
+    def _review(self) -> None:
+        core = self.core
+        self.reviewed_s = core.now_s
+        core.fresh = []
+        self._forget_failures()
+        self.unfinished = False
+        for job in core.shares.in_order(core.now_s):
             if self.searches >= MAX_SEARCHES:
+                self.unfinished = True
                 return
             self.try_start(job)
 
-    def try_start(self, job: Job) -> bool:
-        """Place one job if it fits now."""
+    def _forget_failures(self) -> None:
+        if self.failed_at != self.core.freed:
+            self.failed.clear()
+            self.failed_at = self.core.freed
+
+    def _serve_claims(self) -> None:
+        core = self.core
+        for job_id, pending in list(core.claims.items()):
+            job = core.jobs[job_id]
+            if is_broken(job, pending):
+                core.return_claim(job)
+            elif is_ready(pending) and not self._obstacle(job):
+                core.return_claim(job)
+                self.start(job, pending.zone, pending.spots)
+
+    def _obstacle(self, job: Job) -> str:
+        """Return why a job cannot start whatever is free, if so."""
         core = self.core
         assert core.topology is not None
-        queue = core.queue_of(job)
         zones = zones_that_hold(core.topology, job.spec.shape)
-        usable = [zone for zone in zones if zone.open]
-        if not usable:
+        if not any(zone.open for zone in zones):
             names = ', '.join(sorted(zone.zone for zone in zones))
-            core.wait(job, f'zone out: {names}')
-            return False
-        serving = core.endpoints.serving(core.topology, job.spec.service)
-        if not serving:
-            core.wait(job, f'service {job.spec.service} has no endpoint')
-            return False
+            return f'zone out: {names}' if names else 'no zone can hold it'
+        if not core.endpoints.serving(core.topology, job.spec.service):
+            return f'service {job.spec.service} has no endpoint'
+        queue = core.queue_of(job)
         if queue.running >= queue.spec.max_running:
-            core.wait(job, 'account runs max_running jobs')
-            return False
-        if self._place(job, self._by_distance(usable, serving)):
-            return True
-        core.wait(job, 'no free capacity')
-        return False
+            return 'account runs max_running jobs'
+        return ''
+
+    def try_start(self, job: Job) -> None:
+        """Place one job if it fits now, or find out what it waits for."""
+        core = self.core
+        obstacle = self._obstacle(job)
+        if obstacle:
+            core.wait(job, obstacle)
+            return
+        want = core.want(job)
+        zones = self._zones(job)
+        found = self._search(want, zones, _reaches(want))
+        if found is not None:
+            self.start(job, found.zone, found.spots)
+        elif not self._reclaim(job, want, zones):
+            if not (job.pinned and self._move_homes(job, want, zones)):
+                self._reserve(job, want, zones)
 
-    def _by_distance(
-        self, zones: list[Zone], serving: list[EndpointStatus]
-    ) -> list[Zone]:
+    def _zones(self, job: Job) -> list[Zone]:
+        """Return the zones that may take the job, closest endpoint first."""
         core = self.core
         assert core.topology is not None
-        distance = core.endpoints.zone_distance
         topology = core.topology
-        return sorted(
-            zones,
-            key=lambda zone: (distance(topology, serving, zone), zone.free),
-        )
+        serving = core.endpoints.serving(topology, job.spec.service)
+        zones = [
+            zone
+            for zone in zones_that_hold(topology, job.spec.shape)
+            if zone.open and (job.spec.urgent or not zone.ramping)
+        ]
+        return sorted(zones, key=lambda zone: _zone_rank(core, serving, zone))
 
-    def _place(self, job: Job, zones: list[Zone]) -> bool:
-        if self.failed_at != self.core.freed:
-            self.failed.clear()
-            self.failed_at = self.core.freed
-        memo = (job.account, job.key)
+    def _search(
+        self, want: Want, zones: list[Zone], reaches: Iterable[Reach]
+    ) -> _Found | None:
+        for reach in reaches:
+            memo = self._memo(want, reach)
+            if memo in self.failed:
+                continue
+            self.searches += 1
+            for zone in zones:
+                spots = place_in_zone(zone, want, reach)
+                if spots is not None:
+                    return _Found(zone, spots)
+            self.failed.add(memo)
+        return None
+
+    def _memo(self, want: Want, reach: Reach) -> tuple[object, ...]:
+        """Return what decides whether a search finds anything."""
+        spec = self.core.shares.accounts[want.account].spec
+        owner = want.account if spec.guarantees else None
+        length_s = want.ends_s - self.core.now_s if self.core.claims else 0
+        return reach, owner, want.shape, want.pinned, want.urgent, length_s
+
+    def _reclaim(self, job: Job, want: Want, zones: list[Zone]) -> bool:
+        reaches = []
+        if self.core.queue_of(job).spec.guarantees:
+            reaches.append(Reach.RECLAIM)
+        if want.urgent:
+            reaches.append(Reach.DISPLACE)
+        for reach in reaches:
+            found = self._search(want, zones, [reach])
+            if found is not None:
+                reclaim(self.core, job, found.zone, found.spots, reach)
+                return True
+        return False
+
+    def _move_homes(self, job: Job, want: Want, zones: list[Zone]) -> bool:
+        """Start work that must not stop where idle homes can move away."""
+        if self.moved:
+            self.unfinished = True
+            return False
+        memo = self._memo(want, Reach.BORROW)
         if memo in self.failed:
             return False
         self.searches += 1
-        want = Want(
-            job=job.job,
-            account=job.account,
-            shape=job.spec.shape,
-            pinned=job.pinned,
-            urgent=job.spec.urgent,
-        )
-        found = _search(want, zones)
+        loose = want._replace(pinned=False)
+        choices = [
+            _Found(zone, spots)
+            for zone in zones
+            for spots in choices_in_zone(zone, loose, Reach.BORROW)
+        ]
+        found = self._first_movable(job, choices)
         if found is None:
             self.failed.add(memo)
             return False
-        self.start(job, *found)
+        self.start(job, found.zone, found.spots)
         return True
 
+    def _first_movable(
+        self, job: Job, choices: Sequence[_Movable]
+    ) -> _Movable | None:
+        """Return a choice from which the homes of other accounts moved."""
+        self.moved = bool(choices)
+        for number in range(min(MAX_MOVES, len(choices))):
+            # Later calls begin with another choice.
+            choice = choices[(job.moves + number) % len(choices)]
+            if self.core.make_room(job, choice.spots):
+                return choice
+        job.moves += MAX_MOVES
+        return None
+
+    def _reserve(self, job: Job, want: Want, zones: list[Zone]) -> None:
+        core = self.core
+        core.wait(job, 'no free capacity')
+        if core.now_s - job.submitted_s < RESERVE_AFTER_S or not zones:
+            return
+        reserved = [one for one in core.claims.values() if one.is_reservation]
+        accounts = {
+            core.jobs[job_id].account
+            for job_id, one in core.claims.items()
+            if one.is_reservation
+        }
+        if len(reserved) >= MAX_RESERVATIONS or job.account in accounts:
+            return
+        self.searches += 1
+        found = self._reservation(job, want, zones)
+        if found is not None:
+            claim(core, job, found.zone, found.spots, found.ready_s)
+            core.wait(job, 'capacity is reserved until enough is free')
+
+    def _reservation(
+        self, job: Job, want: Want, zones: list[Zone]
+    ) -> Reservation | None:
+        core = self.core
+        choices = reservations(zones, want, core.now_s, core.expected_end_s)
+        if choices or not job.pinned or self.moved:
+            return choices[0] if choices else None
+        loose = want._replace(pinned=False)
+        choices = reservations(zones, loose, core.now_s, core.expected_end_s)
+        return self._first_movable(job, choices)
+
     def start(self, job: Job, zone: Zone, spots: Iterable[Spot]) -> None:
         """Give a queued job its placement."""
         core = self.core
         assert core.topology is not None
-        core.queue_of(job).remove(job)
+        core.unqueue(job)
         core.hold(job, tuple(spots))
         job.attempt += 1
         job.phase = Phase.PLACED
         job.started_s = core.now_s
+        if zone.ramp_left is not None:
+            zone.ramp_left -= 1
         workers = {spot.worker.worker for spot in job.spots}
         endpoint = core.endpoints.choose(
             core.topology, job.spec.service, zone, workers
@@ -109,13 +263,7 @@
         core.endpoints.busy[endpoint.endpoint] += 1
         job.placement = Placement(
             zone=zone.zone,
-            members=[
-                MemberPlacement(
-                    worker=spot.worker.worker, accelerators=bits_of(mask)
-                )
-                for spot in job.spots
-                for mask in spot.masks
-            ],
+            members=_members(job.spots),
             endpoint=endpoint.endpoint,
             endpoint_url=endpoint.url,
             platform_url=zone.platform_url,
@@ -125,13 +273,24 @@
         )
 
 
-def _search(want: Want, zones: list[Zone]) -> tuple[Zone, list[Spot]] | None:
+def _members(spots: Iterable[Spot]) -> list[MemberPlacement]:
+    return [
+        MemberPlacement(worker=spot.worker.worker, accelerators=bits_of(mask))
+        for spot in spots
+        for mask in spot.masks
+    ]
+
+
+def _zone_rank(
+    core: Core, serving: list[EndpointStatus], zone: Zone
+) -> tuple[int, int]:
+    assert core.topology is not None
+    distance = core.endpoints.zone_distance(core.topology, serving, zone)
+    return distance, zone.free
+
+
+def _reaches(want: Want) -> list[Reach]:
     reaches = [Reach.OWN, Reach.OPEN]
     if not want.pinned:
         reaches.append(Reach.BORROW)
-    for reach in reaches:
-        for zone in zones:
-            spots = place_in_zone(zone, want, reach)
-            if spots is not None:
-                return zone, spots
-    return None
+    return reaches
--- /dev/null
+++ b/mangotrail/_zones.py
@@ -0,0 +1,96 @@
+"""Availability zones that leave and return."""
+
+from mangotrail._core import Core
+from mangotrail._jobs import Job, Phase
+from mangotrail._preemption import preempt, stop_at
+from mangotrail.events import ZoneChanged
+from mangotrail.topology import Zone
+
+# The share of the time until the deadline that is given to checkpoints.
+CHECKPOINT_SHARE = 0.5
+# The stop is ordered this share of the time before the deadline, at most
+# MAX_MARGIN_S before it, so that it takes effect in time.
+MARGIN_SHARE = 0.25
+MAX_MARGIN_S = 10.0
+# For this long after its return a zone starts at most RAMP_RATE jobs a second.
+RAMP_S = 120.0
+RAMP_RATE = 2.0
+RAMP_BURST = 4.0
+
+
+def change_zone(core: Core, event: ZoneChanged) -> None:
+    """Take a zone out or in."""
+    zone = core.topology and core.topology.zones.get(event.zone)
+    if not zone:
+        core.counters['unknown_zone'] += 1
+        return
+    was_open = zone.open
+    zone.state = event.state
+    if zone.open:
+        if not was_open:
+            _return(core, zone)
+    else:
+        _leave(core, zone, event.deadline_s)
+    core.freed += 1
+    core.plan_guarantees()
+
+
+def _jobs_in(core: Core, zone: Zone) -> list[Job]:
+    found = {job_id for worker in zone.workers for job_id in worker.holds}
+    return [core.jobs[job_id] for job_id in sorted(found)]
+
+
+def _return(core: Core, zone: Zone) -> None:
+    zone.ramp_left = RAMP_BURST
+    zone.ramp_ends_s = core.now_s + RAMP_S
+    for job in _jobs_in(core, zone):
+        if not job.checkpointed:
+            job.stop_due_s = float('inf')
+
+
+def _leave(core: Core, zone: Zone, deadline_s: float) -> None:
+    reason = f'zone {zone.zone} {zone.state.value}'
+    margin_s = min(MAX_MARGIN_S, deadline_s * MARGIN_SHARE)
+    for job in _jobs_in(core, zone):
+        if job.phase is Phase.PLACED:
+            core.stop(job, reason)
+        elif job.pinned and not job.spec.idempotent:
+            # A stop would make its outcome unknown; it may still finish.
+            _stop_late(core, job, deadline_s - margin_s, reason)
+        elif _ends_within(core, job, deadline_s - margin_s):
+            _stop_late(core, job, deadline_s - margin_s, reason)
+        else:
+            assert core.bundle is not None
+            within_s = deadline_s * CHECKPOINT_SHARE
+            within_s = min(within_s, core.bundle.limits.reclaim_s)
+            preempt(core, job, within_s, reason)
+
+
+def _ends_within(core: Core, job: Job, within_s: float) -> bool:
+    running_s = core.now_s - job.started_s
+    return core.estimates.remaining_s(job.kind, running_s) < within_s
+
+
+def _stop_late(core: Core, job: Job, within_s: float, reason: str) -> None:
+    if within_s <= 0:
+        core.stop(job, reason)
+    else:
+        stop_at(core, job, core.now_s + within_s, reason)
+
+
+def refill_ramps(core: Core, elapsed_s: float) -> None:
+    """Allow further starts in zones that returned."""
+    if core.topology is None:
+        return
+    for zone in core.topology.zones.values():
+        if zone.ramp_left is None:
+            continue
+        if core.now_s >= zone.ramp_ends_s:
+            zone.ramp_left = None
+            core.freed += 1
+        elif elapsed_s > 0:
+            spent = zone.ramp_left < 1
+            left = zone.ramp_left + elapsed_s * RAMP_RATE
+            zone.ramp_left = min(RAMP_BURST, left)
+            if spent and zone.ramp_left >= 1:
+                core.freed += 1
--- /dev/null
+++ b/mangotrail/estimates.py
@@ -0,0 +1,69 @@
+"""Run times and sizes learned from finished and running jobs.
+
+Declared run times and sizes are wrong by a large factor, so no decision uses
+a declared run time.
+"""
+
+from collections import deque
+from typing import NamedTuple
+
+from mangotrail.ids import AccountId
+
+# Fewer run times say too little about the longest one.
+MIN_SAMPLES = 5
+MAX_SAMPLES = 32
+# A job is expected to need this long when nothing was learned.
+UNKNOWN_RUNTIME_S = 4 * 3600.0
+# Usage is sampled with noise; less than this excess is no reason to throttle.
+EXCESS = 1.1
+
+
+class Kind(NamedTuple):
+    """Jobs that are expected to behave alike."""
+
+    account: AccountId
+    job_kind: str
+
+
+class Estimates:
+    """Learned run times and sizes by account and kind of job."""
+
+    def __init__(self) -> None:
+        self.runtimes: dict[Kind, deque[float]] = {}
+        self.sizes: dict[Kind, deque[float]] = {}
+
+    def learn_runtime(self, kind: Kind, runtime_s: float) -> None:
+        """Take in the run time of a finished job."""
+        if runtime_s > 0:
+            _append(self.runtimes, kind, runtime_s)
+
+    def longest_s(self, kind: Kind) -> float | None:
+        """Return the longest recent run time, None while too few are known."""
+        known = self.runtimes.get(kind, ())
+        return max(known) if len(known) >= MIN_SAMPLES else None
+
+    def remaining_s(self, kind: Kind, running_s: float) -> float:
+        """Return how long a running job is expected to go on.
+
+        A job that outlives every known one is expected to run half as long
+        again.
+        """
+        longest = self.longest_s(kind)
+        if longest is None:
+            return UNKNOWN_RUNTIME_S
+        return max(longest - running_s, running_s / 2)
+
+    def learn_size(self, kind: Kind, ratio: float) -> None:
+        """Take in the usage of an attempt as a multiple of its size."""
+        _append(self.sizes, kind, ratio)
+
+    def size(self, kind: Kind) -> float | None:
+        """Return the largest recent usage as a multiple of the size."""
+        known = self.sizes.get(kind, ())
+        return max(known) if len(known) >= MIN_SAMPLES else None
+
+
+def _append(
+    samples: dict[Kind, deque[float]], kind: Kind, value: float
+) -> None:
+    samples.setdefault(kind, deque(maxlen=MAX_SAMPLES)).append(value)
--- a/mangotrail/fairness.py
+++ b/mangotrail/fairness.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from typing import TypeAlias
 
+from msgspec.structs import replace
+
 from mangotrail._bundle import AccountSpec
 from mangotrail._jobs import Job, QueueKey
 from mangotrail.ids import AccountId, JobId
@@ -72,6 +74,16 @@
         part[job.job] = job
         self.queued += 1
 
+    def push_back(self, job: Job) -> None:
+        """Queue a job again ahead of younger ones."""
+        self.lines.setdefault(job.key, Line()).again[job.job] = job
+        self.queued += 1
+
+    def set_aside(self, job: Job) -> None:
+        """Take a job out of its line; it still counts as queued."""
+        self.remove(job)
+        self.queued += 1
+
     def remove(self, job: Job) -> None:
         """Take a queued job out of the queue."""
         line = self.lines[job.key]
@@ -105,6 +117,7 @@
                 self.accounts[spec.account] = AccountQueue(spec)
             else:
                 queue.spec = spec
+        self._retire(set(self.accounts) - {spec.account for spec in specs})
         guaranteed = sum(
             shape.accelerators * shape.count
             for spec in specs
@@ -113,6 +126,18 @@
         self.unguaranteed = max(1.0, accelerators - guaranteed)
         self.total_weight = max(1.0, sum(spec.weight for spec in specs))
 
+    def _retire(self, accounts: set[AccountId]) -> None:
+        """Let the jobs of removed accounts go on without guarantees."""
+        for account in accounts:
+            queue = self.accounts[account]
+            queue.spec = replace(queue.spec, guarantees=())
+
+    def ensure(self, account: AccountId) -> None:
+        """Add an account that has jobs but is in no bundle any more."""
+        if account not in self.accounts:
+            spec = AccountSpec(account=account)
+            self.accounts[account] = AccountQueue(spec)
+
     def priority(
         self, queue: AccountQueue, job: Job, now_s: float
     ) -> tuple[int, float]:
--- /dev/null
+++ b/mangotrail/guarantees.py
@@ -0,0 +1,246 @@
+"""Whether all guarantees fit together, and where each can be reclaimed.
+
+Each guaranteed cell has a home: accelerators that its account can take at any
+time. Work of other accounts may borrow a home only if it can be preempted, so
+that reclaiming never depends on work that must not stop.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Iterator, Sequence
+from enum import Enum
+from typing import NamedTuple, TypeAlias
+
+from mangotrail._blocks import full_mask
+from mangotrail._bundle import AccountSpec, Bundle
+from mangotrail._packing import (
+    CellShape,
+    Home,
+    Packing,
+    Room,
+    empty_room,
+    order,
+    pack_most,
+    search,
+)
+from mangotrail.errors import InvalidBundleError
+from mangotrail.ids import AccountId
+from mangotrail.topology import Topology, Worker
+
+PlannedCell: TypeAlias = tuple[CellShape, Home]
+
+# Enough for fleets of the design size, where the first descent nearly always
+# succeeds; a bundle that needs more is refused.
+MAX_CHECK_STEPS = 20000
+# The leader waits for this search, so it is short.
+MAX_PLAN_STEPS = 2000
+
+
+def cell_shapes(accounts: Iterable[AccountSpec]) -> Iterator[CellShape]:
+    """Return one shape for each guaranteed cell."""
+    for spec in accounts:
+        for shape in spec.guarantees:
+            for _ in range(shape.count):
+                yield CellShape(spec.account, shape.level, shape.accelerators)
+
+
+def check_guarantees(bundle: Bundle) -> None:
+    """Check that all guarantees can be placed together.
+
+    A cell at level worker is one aligned block; at level rack or zone it is
+    whole workers of equal size and at most one block for the remainder.
+
+    :raises InvalidBundleError: names the account and shape that do not fit.
+    """
+    topology = Topology(bundle)
+    cells = order(cell_shapes(bundle.accounts))
+    total = sum(worker.accelerators for worker in topology.walk())
+    for cell in cells:
+        total -= cell.accelerators
+        if total < 0:
+            raise _does_not_fit(cell)
+    rooms = ((worker, empty_room(worker)) for worker in topology.walk())
+    _, failed = search(Packing(topology, rooms), cells, MAX_CHECK_STEPS)
+    if failed is not None:
+        raise _does_not_fit(failed)
+
+
+def _does_not_fit(cell: CellShape) -> InvalidBundleError:
+    shape = f'{cell.accelerators} accelerators at level {cell.level.value}'
+    return InvalidBundleError(
+        f'guarantee of account {cell.account}: a cell of {shape} does not fit '
+        'together with the other guarantees',
+        field=f'accounts.{cell.account}.guarantees',
+        value=shape,
+        allowed='cells that all fit into the zones at the same time',
+        remedy='lower the count or size of cells, or add workers',
+    )
+
+
+class Avoided(NamedTuple):
+    """Capacity of a worker that homes of other accounts must leave alone."""
+
+    worker: Worker
+    account: AccountId
+    mask: int
+    tasks: int
+
+
+class Keep(Enum):
+    """Which homes a new plan leaves where they are.
+
+    Used ones run work of their account; moving the others interrupts nobody.
+    """
+
+    ALL = 'all'
+    USED = 'used'
+
+
+def _is_used(cell: CellShape, home: Home) -> bool:
+    return any(
+        hold.account == cell.account and hold.mask & mask
+        for worker, mask in home
+        for hold in worker.holds.values()
+    )
+
+
+class Guarantees:
+    """Homes of all guaranteed cells."""
+
+    def __init__(self) -> None:
+        self.homes: list[PlannedCell] = []
+
+    @property
+    def suspended(self) -> list[CellShape]:
+        """Return the cells that have no home at present."""
+        return [cell for cell, home in self.homes if not home]
+
+    def propose(
+        self,
+        topology: Topology,
+        accounts: Iterable[AccountSpec],
+        *,
+        keep: Keep = Keep.ALL,
+        avoid: Sequence[Avoided] = (),
+    ) -> list[PlannedCell]:
+        """Find homes that can be reclaimed for as many cells as possible.
+
+        :param keep: which homes stay where they are if they are still good.
+        :param avoid: capacity that is to be left to work of one account.
+        """
+        wanted = order(cell_shapes(accounts))
+        plan = _Plan(topology, avoid)
+        kept = []
+        left = Counter(wanted)
+        for cell, home in self.homes:
+            stays = keep is Keep.ALL or _is_used(cell, home)
+            if stays and left[cell] and plan.keep(cell, home):
+                left[cell] -= 1
+                kept.append((cell, plan.homes[-1]))
+        wanted = order(left.elements())
+        return kept + plan.find(wanted)
+
+    def adopt(
+        self, topology: Topology, homes: list[PlannedCell]
+    ) -> set[Worker]:
+        """Put proposed homes in force.
+
+        :returns: workers whose homes changed.
+        """
+        before = {
+            worker: worker.own for worker in topology.walk() if worker.own
+        }
+        for worker in before:
+            worker.own = {}
+            worker.reserved = 0
+        self.homes = homes
+        for cell, home in homes:
+            for worker, mask in home:
+                worker.reserve(cell.account, mask)
+        return {
+            worker
+            for worker in topology.walk()
+            if worker.own != before.get(worker, {})
+        }
+
+
+class _Plan:
+    """Homes under construction."""
+
+    def __init__(self, topology: Topology, avoid: Sequence[Avoided]) -> None:
+        self.topology = topology
+        self.avoid: dict[Worker, list[Avoided]] = {}
+        for one in avoid:
+            self.avoid.setdefault(one.worker, []).append(one)
+        self.taken: dict[Worker, int] = {}
+        self.homes: list[Home] = []
+
+    def keep(self, cell: CellShape, home: Home) -> bool:
+        """Keep a home if the account can still take all of it."""
+        found = []
+        for worker, mask in home:
+            current = self.topology.workers.get(worker.worker)
+            if current is None or not current.usable:
+                return False
+            room = self.room(current)
+            usable = room.usable(cell.account)
+            if mask & ~usable or mask.bit_count() > room.tasks:
+                return False
+            found.append((current, mask))
+        if found:
+            self._add(tuple(found))
+        return bool(found)
+
+    def _add(self, home: Home) -> None:
+        self.homes.append(home)
+        for worker, mask in home:
+            self.taken[worker] = self.taken.get(worker, 0) | mask
+
+    def find(self, cells: list[CellShape]) -> list[PlannedCell]:
+        """Find homes for cells; an empty home means that none was found."""
+        if not cells:
+            return []
+        homes, failed = search(self._packing(), cells, MAX_PLAN_STEPS)
+        if failed is not None:
+            homes = pack_most(self._packing(), cells)
+        return list(zip(cells, homes, strict=True))
+
+    def _packing(self) -> Packing:
+        rooms = (
+            (worker, self.room(worker))
+            for worker in self.topology.walk()
+            if worker.accelerators and worker.usable
+        )
+        return Packing(self.topology, rooms)
+
+    def room(self, worker: Worker) -> Room:
+        """Return what cells can still take of a worker."""
+        taken = self.taken.get(worker, 0)
+        blocked: dict[AccountId, int] = {}
+        outside = worker.outside
+        outside_connections = worker.outside_connections
+        if worker.pinned:
+            for hold in worker.holds.values():
+                if hold.pinned and hold.mask:
+                    _add_mask(blocked, hold.account, hold.mask)
+        for one in self.avoid.get(worker, ()):
+            _add_mask(blocked, one.account, one.mask)
+            outside += one.tasks
+            outside_connections += one.tasks if one.mask else 0
+        tasks = worker.accelerators - taken.bit_count()
+        if outside:
+            limit = min(
+                worker.slots - outside,
+                worker.connections - outside_connections,
+            )
+            tasks = min(tasks, limit - taken.bit_count())
+        return Room(
+            mask=full_mask(worker.accelerators) & ~taken,
+            tasks=max(0, tasks),
+            blocked=tuple(sorted(blocked.items())),
+        )
+
+
+def _add_mask(
+    masks: dict[AccountId, int], account: AccountId, mask: int
+) -> None:
+    masks[account] = masks.get(account, 0) | mask
--- a/mangotrail/placement.py
+++ b/mangotrail/placement.py
@@ -7,7 +7,7 @@
 from mangotrail._blocks import count_blocks, full_mask, take_block
 from mangotrail._messages import GangLevel, JobShape
 from mangotrail.ids import AccountId, JobId
-from mangotrail.topology import Rack, Spot, Topology, Worker, Zone
+from mangotrail.topology import Hold, Spot, Topology, Worker, Zone
 
 
 class Reach(Enum):
@@ -52,42 +52,44 @@
     own = worker.own.get(want.account, 0)
     if reach is Reach.OWN:
         mask = worker.free & own
-    elif reach is Reach.OPEN:
-        mask = worker.free & (~worker.reserved | own)
     elif reach is Reach.BORROW:
         mask = worker.free
-    elif reach is Reach.RECLAIM:
-        soft = worker.soft & own and _soft_of_others(worker, want)
-        mask = (worker.free & (~worker.reserved | own)) | (soft & own)
     else:
-        soft = worker.soft and _soft_of_others(worker, want)
-        mask = (worker.free | soft) & (~worker.reserved | own)
+        mask = worker.free & (~worker.reserved | own)
+        if worker.soft and reach is not Reach.OPEN:
+            mask |= _displaceable(worker, want, reach, own)
     if worker.claims:
         mask &= ~_claimed(worker, want)
     return mask
 
 
-def _soft_of_others(worker: Worker, want: Want) -> int:
+def _displaceable(worker: Worker, want: Want, reach: Reach, own: int) -> int:
     mask = 0
     for hold in worker.holds.values():
-        if is_displaceable(hold.account, hold.pinned, hold.urgent, want):
+        if is_displaceable(hold, want, reach):
             mask |= hold.mask
-    return mask
+    if reach is Reach.RECLAIM:
+        return mask & own
+    return mask & (~worker.reserved | own)
 
 
-def is_displaceable(
-    account: AccountId, pinned: bool, urgent: bool, want: Want
-) -> bool:
-    """Tell whether a holder may be preempted for a gang."""
-    if pinned:
+def is_displaceable(hold: Hold, want: Want, reach: Reach) -> bool:
+    """Tell whether a holder may be preempted for a gang.
+
+    An account reclaims its cells from all others; urgent work displaces any
+    work that is not urgent.
+    """
+    if hold.pinned:
         return False
-    return account != want.account or (want.urgent and not urgent)
+    if reach is Reach.RECLAIM:
+        return hold.account != want.account
+    return not hold.urgent
 
 
 def _claimed(worker: Worker, want: Want) -> int:
     mask = 0
     for job, claim in worker.claims.items():
-        if job != want.job and want.ends_s > claim.before_s:
+        if job != want.job and claim.blocks(want.ends_s, want.urgent):
             mask |= claim.mask
     return mask
 
@@ -96,7 +98,7 @@
     return sum(
         claim.slots
         for job, claim in worker.claims.items()
-        if job != want.job and want.ends_s > claim.before_s
+        if job != want.job and claim.blocks(want.ends_s, want.urgent)
     )
 
 
@@ -106,7 +108,7 @@
     slots, connections = worker.free_slots, worker.free_connections
     if reach in {Reach.RECLAIM, Reach.DISPLACE}:
         for hold in worker.holds.values():
-            if is_displaceable(hold.account, hold.pinned, hold.urgent, want):
+            if is_displaceable(hold, want, reach):
                 slots += hold.slots
                 connections += hold.connections
     if worker.claims:
@@ -176,13 +178,17 @@
 
 
 def _spot(fit: Fit, members: int, size: int) -> Spot:
+    return spot_on(fit.worker, fit.mask, members, size)
+
+
+def spot_on(worker: Worker, mask: int, members: int, size: int) -> Spot:
+    """Place members of a size on the given accelerators of a worker."""
     masks = []
-    mask = fit.mask
     for _ in range(members):
         block = take_block(mask, size) if size else 0
         mask &= ~block
         masks.append(block)
-    return Spot(worker=fit.worker, masks=tuple(masks))
+    return Spot(worker=worker, masks=tuple(masks))
 
 
 def _domain(
@@ -208,32 +214,36 @@
     return [_spot(best, members, want.shape.accelerators)]
 
 
-def _racks(
-    racks: Sequence[Rack], want: Want, reach: Reach, need: int
-) -> list[Spot] | None:
-    free_only = reach not in {Reach.RECLAIM, Reach.DISPLACE}
-    for rack in sorted(racks, key=lambda one: one.free):
-        if free_only and rack.free < need:
-            continue
-        spots = _domain(rack.workers, want, reach)
-        if spots is not None:
-            return spots
-    return None
-
-
 def place_in_zone(zone: Zone, want: Want, reach: Reach) -> list[Spot] | None:
     """Place a gang inside one zone, whole or not at all."""
+    return next(choices_in_zone(zone, want, reach), None)
+
+
+def choices_in_zone(
+    zone: Zone, want: Want, reach: Reach
+) -> Iterator[list[Spot]]:
+    """Return one placement for each part of a zone that can hold a gang.
+
+    The fullest rack comes first, so that empty racks are left to large gangs.
+    """
     shape = want.shape
-    need = shape.members * shape.accelerators
-    if reach not in {Reach.RECLAIM, Reach.DISPLACE} and (
-        zone.free < need or zone.free_slots < shape.members
-    ):
-        return None
+    free_only = reach not in {Reach.RECLAIM, Reach.DISPLACE}
+    need = shape.members * shape.accelerators if free_only else 0
+    if zone.free < need or (free_only and zone.free_slots < shape.members):
+        return
     if shape.members == 1 or shape.level is GangLevel.WORKER:
-        return _single(zone.workers, want, reach)
+        found = _single(zone.workers, want, reach)
+        if found:
+            yield found
+        return
+    domains = [zone.workers]
     if shape.level is GangLevel.RACK:
-        return _racks(zone.racks, want, reach, need)
-    return _domain(zone.workers, want, reach)
+        racks = sorted(zone.racks, key=lambda one: one.free)
+        domains = [rack.workers for rack in racks if rack.free >= need]
+    for workers in domains:
+        found = _domain(workers, want, reach)
+        if found:
+            yield found
 
 
 def zones_that_hold(topology: Topology, shape: JobShape) -> list[Zone]:
--- a/mangotrail/scheduler.py
+++ b/mangotrail/scheduler.py
@@ -2,9 +2,11 @@
 
 from mangotrail._core import Core, TimerKind
 from mangotrail._ending import on_cancelled, on_failed, on_finished, on_timer
+from mangotrail._inventory import apply_bundle, hold_placement, report_workers
 from mangotrail._jobs import Job, Phase
-from mangotrail._messages import JobSpec, ZoneState
+from mangotrail._messages import JobSpec, Outcome
 from mangotrail._starting import Starter
+from mangotrail._zones import change_zone, refill_ramps
 from mangotrail.errors import (
     ImpossibleJobError,
     MangotrailError,
@@ -28,9 +30,9 @@
     WorkersReported,
     ZoneChanged,
 )
+from mangotrail.guarantees import Keep
 from mangotrail.placement import zones_that_hold
 from mangotrail.policy import Policy
-from mangotrail.topology import Spot, Topology, spots_of
 
 
 class Scheduler(Policy):
@@ -43,6 +45,8 @@
     def __init__(self, *, seed: int = 0) -> None:
         self.core = Core(seed)
         self.starter = Starter(self.core)
+        # Restored jobs may hold cells that were planned for others.
+        self.replan = False
 
     @property
     def counters(self) -> dict[str, int]:
@@ -52,15 +56,33 @@
     def handle(self, event: Event, now_s: float) -> tuple[Decision, ...]:
         """Take in one event and return what follows from it."""
         core = self.core
-        core.now_s = max(core.now_s, now_s)
+        elapsed_s = max(0, now_s - core.now_s)
+        core.now_s += elapsed_s
         core.out = []
         for kind, job, attempt in core.due_timers():
             on_timer(core, kind, job, attempt)
         self._take_in(event)
         if not isinstance(event, JobRestored):
+            self._plan_again(event)
+            refill_ramps(core, elapsed_s)
             self.starter.run()
         return tuple(core.out)
 
+    def _plan_again(self, event: Event) -> None:
+        """Look for homes of guaranteed cells that have none."""
+        core = self.core
+        if self.replan:
+            self.replan = False
+            core.plan_guarantees()
+            if core.guarantees.suspended:
+                core.plan_guarantees(keep=Keep.USED)
+        elif (
+            isinstance(event, Tick)
+            and core.guarantees.suspended
+            and core.planned_at != core.freed
+        ):
+            core.plan_guarantees()
+
     def refusal(self, spec: JobSpec) -> MangotrailError | None:
         """Return why a submit of this job would be refused, if it would."""
         core = self.core
@@ -91,11 +113,11 @@
     def _take_in(self, event: Event) -> None:
         match event:
             case BundleApplied():
-                self._apply_bundle(event)
+                apply_bundle(self.core, event)
             case ZoneChanged():
-                self._change_zone(event)
+                change_zone(self.core, event)
             case WorkersReported():
-                self._report_workers(event)
+                report_workers(self.core, event)
             case EndpointsChanged():
                 self.core.endpoints.replace(event.endpoints)
                 self.core.freed += 1
@@ -110,73 +132,10 @@
             case GangFailed():
                 on_failed(self.core, event)
             case JobFinished():
-                on_finished(self.core, event)
+                self._finish(event)
             case UsageReported() | Tick():
                 pass
 
-    def _apply_bundle(self, event: BundleApplied) -> None:
-        core = self.core
-        old = core.topology
-        core.bundle = event.bundle
-        core.topology = Topology(event.bundle)
-        for zone_id, zone in core.topology.zones.items():
-            if old is not None and zone_id in old.zones:
-                zone.state = old.zones[zone_id].state
-        for worker_id, worker in core.topology.workers.items():
-            if old is not None and worker_id in old.workers:
-                worker.healthy = old.workers[worker_id].healthy
-        core.shares.apply(
-            list(event.bundle.accounts),
-            sum(worker.accelerators for worker in core.topology.walk()),
-        )
-        core.freed += 1
-        for job in core.jobs.values():
-            if job.active:
-                self._hold_again(job)
-
-    def _hold_again(self, job: Job) -> None:
-        core = self.core
-        assert core.topology is not None and job.placement is not None
-        queue = core.queue_of(job)
-        queue.running -= 1
-        queue.charged -= job.charged
-        queue.held -= sum(spot.mask.bit_count() for spot in job.spots)
-        members = [
-            (member.worker, member.accelerators)
-            for member in job.placement.members
-        ]
-        spots = spots_of(core.topology, members)
-        core.hold(job, tuple(spots))
-        if sum(len(spot.masks) for spot in spots) < len(members):
-            core.stop(job, 'worker left the bundle')
-
-    def _change_zone(self, event: ZoneChanged) -> None:
-        core = self.core
-        zone = core.topology and core.topology.zones.get(event.zone)
-        if not zone:
-            core.counters['unknown_zone'] += 1
-            return
-        zone.state = event.state
-        core.freed += 1
-        if event.state is ZoneState.IN:
-            return
-        for job in core.jobs.values():
-            if job.placement and job.placement.zone == event.zone:
-                core.stop(job, f'zone {event.zone} {event.state.value}')
-
-    def _report_workers(self, event: WorkersReported) -> None:
-        core = self.core
-        for status in event.workers:
-            worker = core.topology and core.topology.workers.get(status.worker)
-            if not worker:
-                core.counters['unknown_worker'] += 1
-                continue
-            worker.healthy = status.healthy
-            core.freed += 1
-            if not status.healthy:
-                for job in list(worker.holds):
-                    core.stop(core.jobs[job], f'worker {status.worker} lost')
-
     def _submit(self, event: JobSubmitted) -> None:
         core = self.core
         if event.job in core.jobs:
@@ -204,10 +163,10 @@
 
     def _restore(self, event: JobRestored) -> None:
         core = self.core
-        known = event.job_spec.account in core.shares.accounts
-        if event.job in core.jobs or core.topology is None or not known:
+        if event.job in core.jobs or core.topology is None:
             core.counters['bad_restore'] += 1
             return
+        core.shares.ensure(event.job_spec.account)
         job = Job(
             job=event.job,
             spec=event.job_spec,
@@ -228,21 +187,9 @@
         job.started_s = core.now_s - event.running_s
         job.phase = Phase.RUNNING if event.running_s else Phase.PLACED
         core.endpoints.busy[event.placement.endpoint] += 1
-        self._hold_restored(job)
-
-    def _hold_restored(self, job: Job) -> None:
-        core = self.core
-        assert core.topology is not None and job.placement is not None
-        spots = []
-        for spot in spots_of(
-            core.topology,
-            [(one.worker, one.accelerators) for one in job.placement.members],
-        ):
-            masks = tuple(mask & spot.worker.free for mask in spot.masks)
-            if masks != spot.masks:
-                core.counters['restored_overlap'] += 1
-            spots.append(Spot(worker=spot.worker, masks=masks))
-        core.hold(job, tuple(spots))
+        if hold_placement(core, job, core.topology):
+            core.counters['restored_overlap'] += 1
+        self.replan = True
 
     def _begin(self, event: GangStarted) -> None:
         core = self.core
@@ -256,3 +203,8 @@
             return
         job.phase = Phase.RUNNING
         job.started_s = core.now_s
+
+    def _finish(self, event: JobFinished) -> None:
+        job = on_finished(self.core, event)
+        if job is not None and event.outcome is Outcome.ANSWERED:
+            self.core.estimates.learn_runtime(job.kind, event.runtime_s)
--- a/mangotrail/topology.py
+++ b/mangotrail/topology.py
@@ -32,6 +32,7 @@
 
     :param pinned: whether the job must not be preempted.
     :param outside: members that use slots no guarantee of their own covers.
+    :param outside_connections: members that use such connections.
     """
 
     account: AccountId
@@ -41,17 +42,31 @@
     pinned: bool
     urgent: bool
     outside: int
+    outside_connections: int
 
 
 class Claim(NamedTuple):
     """Capacity that waits for one job.
 
-    :param before_s: backfill must end before this time, 0 forbids backfill.
+    :param before_s: work that ends before this time may use it meanwhile.
+    :param urgent: whether other urgent work must leave it alone, too.
     """
 
     mask: int
     slots: int
     before_s: float
+    urgent: bool
+
+    def blocks(self, ends_s: float, urgent: bool) -> bool:
+        """Tell whether work with this expected end must leave it alone."""
+        if urgent and not self.urgent and self.is_reservation:
+            return False
+        return ends_s > self.before_s
+
+    @property
+    def is_reservation(self) -> bool:
+        """Tell whether the holders end by themselves."""
+        return self.before_s > float('-inf')
 
 
 class Worker:
@@ -72,6 +87,7 @@
         'soft',
         'pinned',
         'outside',
+        'outside_connections',
         'reserved',
         'own',
         'claimed',
@@ -100,6 +116,7 @@
         self.soft = 0
         self.pinned = 0
         self.outside = 0
+        self.outside_connections = 0
         # Accelerators of guaranteed cells, and those of each account.
         self.reserved = 0
         self.own: dict[AccountId, int] = {}
@@ -123,9 +140,9 @@
 
     @property
     def spare_connections(self) -> int:
-        """Connections that no guaranteed cell needs."""
+        """Connections that no guaranteed cell needs and no pinned job took."""
         needed = min(self.connections, self.reserved.bit_count())
-        return self.connections - needed - self.outside
+        return self.connections - needed - self.outside_connections
 
     def hold(self, job: JobId, hold: Hold) -> None:
         """Take what a job holds here; the caller checked that it is free."""
@@ -139,6 +156,7 @@
         if hold.pinned:
             self.pinned |= hold.mask
             self.outside += hold.outside
+            self.outside_connections += hold.outside_connections
         else:
             self.soft |= hold.mask
 
@@ -154,6 +172,7 @@
         if hold.pinned:
             self.pinned &= ~hold.mask
             self.outside -= hold.outside
+            self.outside_connections -= hold.outside_connections
         else:
             self.soft &= ~hold.mask
 
@@ -201,11 +220,7 @@
 
 
 class Zone:
-    """An availability zone with its racks.
-
-    :param starts_left: starts still allowed by the ramp after a return, None
-        without a ramp.
-    """
+    """An availability zone with its racks."""
 
     def __init__(self, *, spec: ZoneSpec) -> None:
         self.zone = spec.zone
@@ -214,7 +229,9 @@
         self.slots = spec.slots
         self.connections = spec.connections
         self.state = ZoneState.IN
-        self.starts_left: float | None = None
+        # Starts that the ramp after a return still allows, None without one.
+        self.ramp_left: float | None = None
+        self.ramp_ends_s = 0.0
         self.free = 0
         self.free_slots = 0
         self.racks = tuple(Rack(zone=self, spec=rack) for rack in spec.racks)
@@ -229,6 +246,11 @@
         """Tell whether the zone takes work."""
         return self.state is ZoneState.IN
 
+    @property
+    def ramping(self) -> bool:
+        """Tell whether the zone must wait before its next start."""
+        return self.ramp_left is not None and self.ramp_left < 1
+
 
 class Topology:
     """All zones of a bundle."""
--- /dev/null
+++ b/tests/test_invariants.py
@@ -0,0 +1,249 @@
+"""Guards the invariants of the decision core on random event sequences."""
+
+from collections import Counter
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from mangotrail.events import (
+    Decision,
+    Finish,
+    JobCancelled,
+    Place,
+    Refuse,
+    Stop,
+)
+from mangotrail.ids import JobId
+from tests.core_events import (
+    Driver,
+    account,
+    cells,
+    make_bundle,
+    spec,
+    zone_spec,
+)
+
+SLOTS = 6
+CONNECTIONS = 5
+BUNDLE = make_bundle(
+    [
+        zone_spec('z1', (2, 8), (2, 4), slots=SLOTS, connections=CONNECTIONS),
+        zone_spec('z2', (2, 8), (2, 4), slots=SLOTS, connections=CONNECTIONS),
+        zone_spec('z3', (1, 8), (1, 0), slots=SLOTS, connections=CONNECTIONS),
+    ],
+    [
+        account('a', cells('rack', 16), cells('worker', 2, 2)),
+        account('b', cells('worker', 4, 2), cells('worker', 1)),
+        account('c', max_running=6, max_queued=20),
+    ],
+)
+
+
+class Model:
+    """Follows the decisions with its own books and reports events."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = Random(seed)
+        self.driver = Driver(BUNDLE)
+        self.specs: dict[str, object] = {}
+        self.active: dict[str, Place] = {}
+        self.began: set[str] = set()
+        self.stopping: set[str] = set()
+        self.may_have_run: set[str] = set()
+        self.ended: set[str] = set()
+        self.zones = {'z1': 'in', 'z2': 'in', 'z3': 'in'}
+        self.stop_by: dict[str, float] = {}
+        self.lost: set[str] = set()
+        self.disturbed = False
+
+    def take(self, decisions: list[Decision]) -> None:
+        """Check decisions and follow them."""
+        for decision in decisions:
+            if isinstance(decision, Place):
+                self.check_place(decision)
+                self.active[decision.job] = decision
+            elif isinstance(decision, Stop):
+                assert decision.attempt == self.active[decision.job].attempt
+                self.stopping.add(decision.job)
+            elif isinstance(decision, (Finish, Refuse)):
+                assert decision.job not in self.ended
+                assert decision.job not in self.active
+                self.ended.add(decision.job)
+                if isinstance(decision, Finish):
+                    assert decision.ran == (decision.job in self.may_have_run)
+        self.check_resources()
+        self.check_guarantees()
+
+    def check_place(self, place: Place) -> None:
+        """Check one placement against the request."""
+        job_spec = self.specs[place.job]
+        members = place.placement.members
+        assert place.job not in self.ended | set(self.active)
+        assert job_spec.idempotent or place.job not in self.may_have_run
+        assert len(members) == job_spec.shape.members
+        assert self.zones[place.placement.zone] == 'in'
+        parts = {'worker': 3, 'rack': 2, 'zone': 1}[job_spec.shape.level.value]
+        prefixes = {tuple(one.worker.split('-')[:parts]) for one in members}
+        assert len(prefixes) == 1
+        assert not self.lost & {one.worker for one in members}
+        for one in members:
+            assert one.worker.startswith(place.placement.zone)
+            assert len(set(one.accelerators)) == job_spec.shape.accelerators
+
+    def check_resources(self) -> None:
+        """Count everything that active attempts hold."""
+        held: Counter[tuple[str, int]] = Counter()
+        slots: Counter[str] = Counter()
+        connections: Counter[str] = Counter()
+        for place in self.active.values():
+            for one in place.placement.members:
+                held.update((one.worker, bit) for bit in one.accelerators)
+                slots[one.worker] += 1
+                connections[one.worker] += bool(one.accelerators)
+        assert max(held.values(), default=0) <= 1
+        assert max(slots.values(), default=0) <= SLOTS
+        assert max(connections.values(), default=0) <= CONNECTIONS
+
+    def check_guarantees(self) -> None:
+        """Check that no home of a cell is held by work that must not stop."""
+        core = self.driver.scheduler.core
+        if not self.disturbed:
+            assert not core.guarantees.suspended
+        pinned = {
+            (one.worker, bit): self.specs[job].account
+            for job, place in self.active.items()
+            if not self.preemptible(job)
+            for one in place.placement.members
+            for bit in one.accelerators
+        }
+        seen = set()
+        for cell, home in core.guarantees.homes:
+            for worker, mask in home:
+                assert self.zones[worker.zone.zone] == 'in'
+                for bit in range(8):
+                    if mask >> bit & 1:
+                        key = (worker.worker, bit)
+                        assert pinned.get(key, cell.account) == cell.account
+                        assert key not in seen
+                        seen.add(key)
+
+    def preemptible(self, job: str) -> bool:
+        """Tell whether a job can be preempted."""
+        return self.specs[job].preemptible and self.specs[job].idempotent
+
+    def submit(self) -> None:
+        """Submit a random gang."""
+        name = f'j{len(self.specs)}'
+        pick = self.random.choice
+        members = pick([1, 1, 2, 4])
+        self.specs[name] = spec(
+            pick('abc'),
+            members=members,
+            size=pick([0, 1, 2, 3, 4, 8]),
+            level=pick(['worker', 'rack', 'zone']),
+            urgent=self.random.random() < 0.1,
+            idempotent=self.random.random() < 0.7,
+            preemptible=self.random.random() < 0.7,
+            deadline_s=pick([None, None, 400.0]),
+        )
+        self.take(self.driver.submit(name, self.specs[name]))
+
+    def progress(self) -> None:
+        """Report what a random attempt does next."""
+        if not self.active:
+            return
+        job = self.random.choice(sorted(self.active))
+        chance = self.random.random()
+        if job in self.stopping or chance < 0.15:
+            self.fail(job)
+        elif job not in self.began:
+            self.began.add(job)
+            self.may_have_run.add(job)
+            self.take(self.driver.start(job))
+        elif chance < 0.7:
+            del self.active[job]
+            self.began.discard(job)
+            self.ended.add(job)
+            self.take(self.driver.finish(job))
+
+    def fail(self, job: str) -> None:
+        """Report the end of an attempt without an answer."""
+        nothing_ran = job not in self.began and self.random.random() < 0.7
+        if not nothing_ran:
+            self.may_have_run.add(job)
+        worker = self.active.pop(job).placement.members[0].worker
+        self.began.discard(job)
+        self.stopping.discard(job)
+        self.take(self.driver.fail(job, nothing_ran=nothing_ran, worker=worker))
+
+    def cancel(self) -> None:
+        """Cancel any job, also one that ended."""
+        if self.specs:
+            job = self.random.choice(sorted(self.specs))
+            self.take(self.driver.send(JobCancelled(job=JobId(job))))
+
+    def move_zone(self) -> None:
+        """Take a random zone out or in."""
+        self.disturbed = True
+        zone = self.random.choice(sorted(self.zones))
+        state = 'out' if self.zones[zone] == 'in' else 'in'
+        self.zones[zone] = state
+        deadline_s = self.random.choice([0, 8, 60])
+        self.stop_by.pop(zone, None)
+        if state == 'out':
+            self.stop_by[zone] = self.driver.now_s + deadline_s
+        self.take(self.driver.zone(zone, state, deadline_s))
+
+    def move_worker(self) -> None:
+        """Lose a random worker or get it back."""
+        self.disturbed = True
+        worker = self.random.choice(['z1-0-0', 'z2-1-1', 'z3-0-0'])
+        self.lost ^= {worker}
+        self.take(self.driver.worker(worker, healthy=worker not in self.lost))
+
+    def tick(self) -> None:
+        """Let time pass and check the deadlines of zones."""
+        self.take(self.driver.tick(self.random.choice([0.5, 1, 3])))
+        for job, place in self.active.items():
+            due_s = self.stop_by.get(place.placement.zone, float('inf'))
+            assert self.driver.now_s < due_s or job in self.stopping
+
+    def settle(self) -> None:
+        """Bring everything back and let all jobs end."""
+        for zone in self.zones:
+            self.zones[zone] = 'in'
+            self.take(self.driver.zone(zone, 'in'))
+        for worker in sorted(self.lost):
+            self.lost.discard(worker)
+            self.take(self.driver.worker(worker, healthy=True))
+        self.stop_by.clear()
+        for _ in range(4000):
+            if len(self.ended) == len(self.specs):
+                break
+            self.progress()
+            self.tick()
+        assert self.ended == set(self.specs)
+
+
+class TestInvariants:
+    """Every rule holds after every event."""
+
+    @settings(derandomize=True, max_examples=120, deadline=None)
+    @given(seed=st.integers(0, 1_000_000), calm=st.booleans())
+    def test_random_events(self, seed: int, calm: bool) -> None:
+        """A single violation breaks an invariant of the design page."""
+        model = Model(seed)
+        steps = [model.submit] * 5 + [model.progress] * 8 + [model.tick] * 4
+        steps.append(model.cancel)
+        if not calm:
+            steps += [model.move_zone, model.move_worker]
+        for _ in range(150):
+            model.random.choice(steps)()
+        model.settle()
+        core = model.driver.scheduler.core
+        assert not core.jobs and not core.claims
+        assert all(
+            not worker.holds and not worker.claims
+            for worker in core.topology.walk()
+        )
