--- /dev/null
+++ b/mangotrail/_endpoint_run.py
@@ -0,0 +1,156 @@
+"""The part of an attempt that talks to its endpoint."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from loguru import logger
+
+from mangotrail._messages import AttemptStatus, DispatchOrder
+from mangotrail.endpoints import (
+    EndpointAttempt,
+    EndpointCallError,
+    EndpointReply,
+    EndpointRequest,
+    EndpointState,
+    WrongAnswerError,
+)
+
+if TYPE_CHECKING:
+    from mangotrail._attempt import AttemptTools
+
+POLL_WAIT_S = 20.0
+# Bounds the polls of an endpoint that replies at once instead of waiting.
+POLL_PAUSE_S = 0.05
+MAX_WRONG_ANSWERS = 5
+
+
+@dataclass(frozen=True, kw_only=True)
+class RunResult:
+    """How the request ended at its endpoint."""
+
+    status: AttemptStatus
+    reason: str = ''
+    body: bytes = b''
+    sha256: str = ''
+
+
+class EndpointRun:
+    """Hands the payload over and waits for the answer.
+
+    :param order: the order of the leader.
+    :param tools: what all attempts share.
+    """
+
+    def __init__(self, *, order: DispatchOrder, tools: 'AttemptTools') -> None:
+        self.order = order
+        self.tools = tools
+        # Whether the endpoint may have received any part of the payload.
+        self.payload_sent = False
+        self.wrong_answers = 0
+
+    async def run(self) -> RunResult:
+        """Return how the request ended; endless only if the endpoint is."""
+        heard_at_s = self.tools.clock.age_s()
+        pauses = iter(self.tools.pauses)
+        while True:
+            try:
+                reply = await self._ask()
+            except WrongAnswerError as error:
+                self.wrong_answers += 1
+                logger.warning('answer refused: {}', error)
+                if self.wrong_answers >= MAX_WRONG_ANSWERS:
+                    return RunResult(
+                        status=AttemptStatus.UNKNOWN, reason=error.message
+                    )
+                await asyncio.sleep(next(pauses))
+                continue
+            except EndpointCallError as error:
+                silent_s = self.tools.clock.age_s() - heard_at_s
+                if silent_s >= self.tools.endpoint_lost_s:
+                    return RunResult(
+                        status=AttemptStatus.UNKNOWN,
+                        reason=f'endpoint lost: {error}',
+                    )
+                await asyncio.sleep(next(pauses))
+                continue
+            heard_at_s = self.tools.clock.age_s()
+            pauses = iter(self.tools.pauses)
+            if reply.state is not EndpointState.RUNNING:
+                return _read_result(reply)
+            await asyncio.sleep(POLL_PAUSE_S)
+
+    async def last_answer(self) -> RunResult | None:
+        """Return an answer that is ready although the gang has stopped."""
+        if not self.payload_sent:
+            return None
+        try:
+            reply = await self.tools.endpoints.get(self._target(), wait_s=0)
+        except (EndpointCallError, WrongAnswerError):
+            return None
+        if reply.state in {EndpointState.ANSWERED, EndpointState.FAILED}:
+            return _read_result(reply)
+        return None
+
+    async def cancel(self) -> None:
+        """Tell the endpoint that the attempt is over.
+
+        :raises EndpointCallError: if the endpoint gave no usable reply.
+        """
+        await self.tools.endpoints.cancel(self._target())
+
+    async def _ask(self) -> EndpointReply:
+        if self.payload_sent:
+            return await self.tools.endpoints.get(
+                self._target(), wait_s=POLL_WAIT_S
+            )
+        self.payload_sent = True
+        try:
+            return await self.tools.endpoints.put(
+                self._target(), self._request()
+            )
+        except EndpointCallError as error:
+            self.payload_sent = error.sent
+            raise
+
+    def _target(self) -> EndpointAttempt:
+        placement = self.order.placement
+        return EndpointAttempt(
+            url=placement.endpoint_url,
+            job=self.order.job,
+            attempt=self.order.attempt,
+            max_answer_bytes=self.tools.max_answer_bytes(),
+            pacer=self.tools.pacer_for(placement.zone),
+        )
+
+    def _request(self) -> EndpointRequest:
+        spec = self.order.job_spec
+        return EndpointRequest(
+            payload=spec.payload,
+            account=spec.account,
+            request=spec.request,
+            idempotent=spec.idempotent,
+            deadline_s=spec.deadline_s,
+        )
+
+
+def _read_result(reply: EndpointReply) -> RunResult:
+    match reply.state:
+        case EndpointState.ANSWERED:
+            status, reason = AttemptStatus.ANSWERED, ''
+        case EndpointState.FAILED:
+            status, reason = AttemptStatus.FAILED, 'endpoint answered an error'
+        case EndpointState.UNKNOWN:
+            status, reason = (
+                AttemptStatus.UNKNOWN,
+                'endpoint does not know the attempt',
+            )
+        case _:
+            status, reason = AttemptStatus.UNKNOWN, 'endpoint refused it'
+    answered = status in {AttemptStatus.ANSWERED, AttemptStatus.FAILED}
+    return RunResult(
+        status=status,
+        reason=reason,
+        body=reply.body if answered else b'',
+        sha256=reply.sha256,
+    )
--- /dev/null
+++ b/mangotrail/_http_client.py
@@ -0,0 +1,207 @@
+"""HTTP/1.1 client without hidden retries, bounded in bytes and in time."""
+
+import asyncio
+import socket
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from urllib.parse import urlsplit
+
+import h11
+
+from mangotrail.pacing import ByteCounts, Pacer, Purpose
+
+CONNECT_TIMEOUT_S = 3.0
+CHUNK_BYTES = 16384
+# A small receive window makes the sender follow the pace of a paced reader.
+PACED_WINDOW_BYTES = 65536
+MAX_SMALL_BODY_BYTES = 4 * 1024 * 1024
+
+
+class HttpFailure(Exception):
+    """A request got no whole response.
+
+    :param sent: False only if no byte of the request left this process.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+@dataclass(frozen=True, kw_only=True)
+class HttpResponse:
+    """A whole response."""
+
+    status: int
+    headers: Mapping[str, str]
+    body: bytes
+
+
+@dataclass(kw_only=True)
+class _Incoming:
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
+
+
+@dataclass(frozen=True, kw_only=True)
+class HttpRequest:
+    """A request and the bounds of its response.
+
+    :param timeout_s: bound of the whole exchange in seconds.
+    :param max_bytes: largest accepted response body.
+    :param pacer: bounds the rate at which body bytes are sent and read.
+    """
+
+    method: str
+    url: str
+    purpose: Purpose
+    timeout_s: float
+    body: bytes = b''
+    headers: Mapping[str, str] = field(default_factory=dict)
+    max_bytes: int = MAX_SMALL_BODY_BYTES
+    pacer: Pacer | None = None
+
+
+class HttpClient:
+    """Sends each request on a connection of its own.
+
+    A new connection makes it certain whether a request was sent: a kept one
+    may be closed by the peer at any moment.
+
+    :param counts: receives the body and header bytes by purpose.
+    """
+
+    def __init__(self, *, counts: ByteCounts) -> None:
+        self.counts = counts
+
+    async def send(self, request: HttpRequest) -> HttpResponse:
+        """Send a request once and return its whole response.
+
+        :raises HttpFailure: if no whole response arrived in time.
+        """
+        deadline = asyncio.get_running_loop().time() + request.timeout_s
+        reader, writer = await self._connect(request)
+        try:
+            async with asyncio.timeout_at(deadline):
+                return await self._exchange(request, reader, writer)
+        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+            raise HttpFailure(
+                f'{request.method} {request.url}: {_describe(error)}', sent=True
+            ) from error
+        finally:
+            writer.close()
+
+    async def _connect(
+        self, request: HttpRequest
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        parts = urlsplit(request.url)
+        try:
+            async with asyncio.timeout(
+                min(CONNECT_TIMEOUT_S, request.timeout_s)
+            ):
+                return await asyncio.open_connection(
+                    sock=await _open_socket(
+                        parts.hostname or '',
+                        parts.port or 80,
+                        paced=request.pacer is not None,
+                    ),
+                    limit=CHUNK_BYTES,
+                )
+        except (OSError, TimeoutError, ValueError) as error:
+            raise HttpFailure(
+                f'{request.method} {request.url}: {_describe(error)}',
+                sent=False,
+            ) from error
+
+    async def _exchange(
+        self,
+        request: HttpRequest,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> HttpResponse:
+        connection = h11.Connection(h11.CLIENT)
+        await self._send_request(request, connection, writer)
+        incoming = _Incoming()
+        while True:
+            event = connection.next_event()
+            if event is h11.NEED_DATA:
+                received = await reader.read(CHUNK_BYTES)
+                self.counts.received[request.purpose] += len(received)
+                if request.pacer is not None:
+                    await request.pacer.take(len(received))
+                connection.receive_data(received)
+            elif isinstance(event, h11.Response):
+                incoming.status = event.status_code
+                incoming.headers = _read_headers(event)
+            elif isinstance(event, h11.Data):
+                incoming.body += event.data
+                if len(incoming.body) > request.max_bytes:
+                    raise OSError(f'body is over {request.max_bytes} bytes')
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpResponse(
+                    status=incoming.status,
+                    headers=incoming.headers,
+                    body=bytes(incoming.body),
+                )
+            elif isinstance(event, h11.ConnectionClosed):
+                raise OSError('connection closed before the response')
+
+    async def _send_request(
+        self,
+        request: HttpRequest,
+        connection: h11.Connection,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        parts = urlsplit(request.url)
+        target = f'{parts.path or "/"}{"?" if parts.query else ""}{parts.query}'
+        head = connection.send(
+            h11.Request(
+                method=request.method,
+                target=target,
+                headers=[
+                    ('host', parts.netloc),
+                    ('connection', 'close'),
+                    ('content-length', str(len(request.body))),
+                    *request.headers.items(),
+                ],
+            )
+        )
+        self.counts.sent[request.purpose] += len(head) + len(request.body)
+        writer.write(head)
+        for start in range(0, len(request.body), CHUNK_BYTES):
+            chunk = request.body[start : start + CHUNK_BYTES]
+            if request.pacer is not None:
+                await request.pacer.take(len(chunk))
+            writer.write(connection.send(h11.Data(data=chunk)))
+            await writer.drain()
+        writer.write(connection.send(h11.EndOfMessage()))
+        await writer.drain()
+
+
+async def _open_socket(host: str, port: int, *, paced: bool) -> socket.socket:
+    family = socket.AF_INET6 if ':' in host else socket.AF_INET
+    client = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        client.setblocking(False)
+        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if paced:
+            client.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, PACED_WINDOW_BYTES
+            )
+        await asyncio.get_running_loop().sock_connect(client, (host, port))
+    except BaseException:
+        client.close()
+        raise
+    return client
+
+
+def _read_headers(event: h11.Response) -> dict[str, str]:
+    return {
+        name.decode('ascii'): value.decode('latin-1')
+        for name, value in event.headers
+    }
+
+
+def _describe(error: BaseException) -> str:
+    return str(error) or type(error).__name__
--- /dev/null
+++ b/mangotrail/_http_common.py
@@ -0,0 +1,313 @@
+"""Credentials, bodies and typed errors of the HTTP interface."""
+
+import asyncio
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+from hashlib import sha256
+from typing import TypeVar, cast
+
+import msgspec
+from blacksheep import Content, Request, Response
+
+from mangotrail._messages import Failure
+from mangotrail._settings import Credentials, HttpSettings
+from mangotrail.errors import (
+    ForbiddenError,
+    InvalidInputError,
+    MangotrailError,
+    PayloadTooLargeError,
+    UnauthorizedError,
+)
+
+JSON_TYPE = b'application/json'
+# Text of the decoder, such as: Expected `int` >= 1 - at `$.shape.members`.
+PATH_PATTERN = re.compile(r' - at `\$?\.?([^`]*)`$')
+EXPECTED_PATTERN = re.compile(r'^Expected (.*?)(?:, got .*)?$')
+NAMED_PATTERN = re.compile('(unknown|missing required) field `([^`]*)`')
+STEP_PATTERN = re.compile(r'[^.\[\]]+')
+
+ValueT = TypeVar('ValueT')
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class Role(StrEnum):
+    """What a credential stands for."""
+
+    OPERATOR = 'operator'
+    ACCOUNT = 'account'
+    SERVICE = 'service'
+
+
+@dataclass(frozen=True, kw_only=True)
+class Principal:
+    """Who sent a request."""
+
+    role: Role
+    name: str
+
+
+class Authenticator:
+    """Finds who a bearer token belongs to.
+
+    :param credentials: tokens by role.
+    """
+
+    def __init__(self, *, credentials: Credentials) -> None:
+        # A lookup by digest takes no longer for a token that is nearly right.
+        self.principals: dict[bytes, Principal] = {}
+        for role, tokens in (
+            (Role.OPERATOR, credentials.operators),
+            (Role.ACCOUNT, credentials.accounts),
+            (Role.SERVICE, credentials.services),
+        ):
+            self._add(role, tokens)
+
+    def require(self, request: Request, role: Role) -> Principal:
+        """Return who sent a request.
+
+        :raises UnauthorizedError: if the credential is missing or unknown.
+        :raises ForbiddenError: if it stands for another role.
+        """
+        header = request.get_first_header(b'authorization') or b''
+        scheme, _, token = header.partition(b' ')
+        principal = self.principals.get(sha256(token.strip()).digest())
+        if scheme.lower() != b'bearer' or principal is None:
+            raise UnauthorizedError(
+                'The request carries no known credential.',
+                field='authorization',
+                allowed='Bearer TOKEN',
+                remedy='Send a token of the credentials file.',
+            )
+        if principal.role is not role:
+            raise ForbiddenError(
+                f'The credential is one of an {principal.role}.',
+                field='authorization',
+                allowed=f'a token of an {role}',
+                remedy=f'Send a token of an {role}.',
+            )
+        return principal
+
+    def _add(self, role: Role, tokens: Mapping[str, str]) -> None:
+        for name, token in tokens.items():
+            digest = sha256(token.encode()).digest()
+            self.principals[digest] = Principal(role=role, name=name)
+
+
+async def read_body(request: Request, bounds: HttpSettings) -> bytes:
+    """Read a whole body within the bounds of size and time.
+
+    :raises PayloadTooLargeError: if the body is too large.
+    :raises InvalidInputError: if its sender is too slow.
+    """
+    declared = request.get_first_header(b'content-length') or b'0'
+    if declared.isdigit() and int(declared) > bounds.max_body_bytes:
+        raise too_large(declared.decode(), bounds.max_body_bytes)
+    body = bytearray()
+    try:
+        async with asyncio.timeout(bounds.body_timeout_s):
+            # The type of the library leaves out that it is a generator.
+            chunks = cast(AsyncIterator[bytes], request.stream())
+            async for chunk in chunks:
+                body += chunk
+                if len(body) > bounds.max_body_bytes:
+                    raise too_large(str(len(body)), bounds.max_body_bytes)
+    except TimeoutError as error:
+        raise InvalidInputError(
+            'The body did not arrive in time.',
+            field='body',
+            value=f'{len(body)} bytes',
+            allowed=f'a whole body within {bounds.body_timeout_s} s',
+            remedy='Send the request again on a faster connection.',
+        ) from error
+    return bytes(body)
+
+
+def too_large(
+    size: str, max_bytes: int, field: str = 'body'
+) -> PayloadTooLargeError:
+    """Return the error for a body or payload over its limit."""
+    return PayloadTooLargeError(
+        f'The {field} is too large.',
+        field=field,
+        value=f'{size} bytes',
+        allowed=f'at most {max_bytes} bytes',
+        remedy='Send less, or pass a reference to the data instead.',
+    )
+
+
+def decode_object(body: bytes) -> dict[str, object]:
+    """Decode a JSON object.
+
+    :raises InvalidInputError: if the body is none.
+    """
+    try:
+        document = msgspec.json.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise InvalidInputError(
+            f'The body is no JSON: {error}',
+            field='body',
+            value=body[:80].decode(errors='replace'),
+            allowed='one JSON object in UTF-8',
+            remedy='Correct the body.',
+        ) from error
+    if not isinstance(document, dict):
+        raise InvalidInputError(
+            'The body is no JSON object.',
+            field='body',
+            value=type(document).__name__,
+            allowed='one JSON object in UTF-8',
+            remedy='Correct the body.',
+        )
+    return document
+
+
+def convert(document: object, into: type[ValueT]) -> ValueT:
+    """Convert a decoded JSON document into a type of a schema.
+
+    :raises InvalidInputError: naming the field, its value and what is allowed.
+    """
+    try:
+        return msgspec.convert(document, into)
+    except msgspec.ValidationError as error:
+        raise _invalid(str(error), document) from error
+
+
+def _invalid(message: str, document: object) -> InvalidInputError:
+    path = PATH_PATTERN.search(message)
+    problem = PATH_PATTERN.sub('', message)
+    location = path.group(1) if path else ''
+    named = NAMED_PATTERN.search(problem)
+    if named is not None:
+        field = f'{location}.{named.group(2)}'.lstrip('.')
+        unknown = named.group(1) == 'unknown'
+        return InvalidInputError(
+            f'{problem}.',
+            field=field,
+            value=_value_at(document, field) if unknown else '',
+            allowed='no such field' if unknown else 'a value',
+            remedy='Remove the field.' if unknown else 'Add the field.',
+        )
+    expected = EXPECTED_PATTERN.match(problem)
+    return InvalidInputError(
+        f'{problem}.',
+        field=location or 'body',
+        value=_value_at(document, location),
+        allowed=(expected.group(1) if expected else problem).replace('`', ''),
+        remedy='Correct the value.',
+    )
+
+
+def _value_at(document: object, path: str) -> object:
+    for step in STEP_PATTERN.findall(path):
+        if isinstance(document, dict):
+            document = document.get(step, '')
+        elif isinstance(document, list) and step.isdecimal():
+            document = document[int(step)]
+        else:
+            return ''
+    return document
+
+
+def read_number(
+    request: Request, name: str, *, default: float, most: float
+) -> float:
+    """Read a number of the query.
+
+    :raises InvalidInputError: if it is none or out of range.
+    """
+    texts = request.query.get(name)
+    if not texts:
+        return default
+    try:
+        number = float(texts[0])
+    except ValueError:
+        number = -1
+    if not 0 <= number <= most:
+        raise InvalidInputError(
+            f'The query field {name} is out of range.',
+            field=name,
+            value=texts[0],
+            allowed=f'a number from 0 to {most:g}',
+            remedy='Correct the value.',
+        )
+    return number
+
+
+def as_handler(serve: Handler) -> Handler:
+    """Return a plain function, because the router takes no bound method."""
+
+    async def handle(request: Request) -> Response:
+        return await serve(request)
+
+    return handle
+
+
+def read_path(request: Request, name: str) -> str:
+    """Return a decoded part of the path, empty if there is none."""
+    return (request.route_values or {}).get(name) or ''
+
+
+def read_version(text: str, field: str) -> int:
+    """Read a positive whole number of the path or query.
+
+    :raises InvalidInputError: if it is none.
+    """
+    if not text.isascii() or not text.isdecimal() or len(text) > 15:
+        raise InvalidInputError(
+            f'The {field} is no whole number.',
+            field=field,
+            value=text,
+            allowed='a whole number of at least 1',
+            remedy='Correct the value.',
+        )
+    return int(text)
+
+
+def json_response(document: object, status: int = 200) -> Response:
+    """Return a JSON response; bytes are base64 text."""
+    return raw_response(msgspec.json.encode(document), status)
+
+
+def raw_response(
+    body: bytes, status: int = 200, content_type: bytes = JSON_TYPE
+) -> Response:
+    """Return a response with a body as it is."""
+    return Response(status, None, Content(content_type, body))
+
+
+def failure_response(failure: Failure) -> Response:
+    """Return a typed error as JSON."""
+    return json_response(failure_document(failure), failure.status)
+
+
+def failure_document(failure: Failure) -> dict[str, dict[str, object]]:
+    """Return the JSON form of a typed error."""
+    return {
+        'error': {
+            'code': failure.code,
+            'message': failure.message,
+            'field': failure.field_name,
+            'value': failure.value,
+            'allowed': failure.allowed,
+            'remedy': failure.remedy,
+            'not_run': failure.not_run,
+        }
+    }
+
+
+class FailureReplyError(MangotrailError):
+    """A failure that the control process replied.
+
+    :param failure: the reply.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.message)
+        self.failure = failure
+
+    def to_failure(self) -> Failure:
+        """Return the reply as it is."""
+        return self.failure
--- /dev/null
+++ b/mangotrail/_http_endpoints.py
@@ -0,0 +1,86 @@
+"""HTTP paths of endpoints."""
+
+from blacksheep import Request, Response
+
+from mangotrail._gateway_parts import GatewayParts
+from mangotrail._http_common import (
+    FailureReplyError,
+    Role,
+    convert,
+    decode_object,
+    json_response,
+    read_body,
+    read_path,
+    read_version,
+)
+from mangotrail._messages import AnnounceEndpoint, LeaveEndpoint
+from mangotrail.endpoints import check_announcement
+from mangotrail.errors import (
+    ForbiddenError,
+    InvalidInputError,
+    UnavailableError,
+)
+from mangotrail.ids import EndpointId
+
+
+class EndpointPaths:
+    """Serves announcements, heartbeats and leaves.
+
+    :param parts: parts of the gateway.
+    """
+
+    def __init__(self, *, parts: GatewayParts) -> None:
+        self.parts = parts
+
+    async def announce(self, request: Request) -> Response:
+        """Admit an endpoint or record its heartbeat."""
+        principal = self.parts.authenticator.require(request, Role.SERVICE)
+        body = await read_body(request, self.parts.settings.http)
+        announcement = convert(decode_object(body), AnnounceEndpoint)
+        if announcement.service != principal.name:
+            raise ForbiddenError(
+                'The credential belongs to another service.',
+                field='service',
+                value=announcement.service,
+                allowed=principal.name,
+                remedy='Announce endpoints of the own service only.',
+            )
+        check_announcement(announcement)
+        if not self.parts.status.is_linked():
+            # The heartbeat would reach no leader from here.
+            raise UnavailableError(
+                'The control process of this instance does not reply.',
+                remedy='Announce the endpoint at another instance.',
+            )
+        if not self.parts.book.hear(announcement):
+            await self._pass_on(announcement)
+        return json_response({'generation': announcement.generation})
+
+    async def leave(self, request: Request) -> Response:
+        """Take one generation of an endpoint out of new work."""
+        self.parts.authenticator.require(request, Role.SERVICE)
+        endpoint = EndpointId(read_path(request, 'endpoint'))
+        texts = request.query.get('generation')
+        if not texts:
+            raise InvalidInputError(
+                'The query field generation is missing.',
+                field='generation',
+                allowed='a whole number of at least 1',
+                remedy='Add the field.',
+            )
+        generation = read_version(texts[0], 'generation')
+        # From here on no heartbeat of this generation is passed on.
+        self.parts.book.leave(endpoint, generation)
+        leave = convert(
+            {'endpoint': endpoint, 'generation': generation}, LeaveEndpoint
+        )
+        await self.parts.ask(leave)
+        return json_response({'generation': generation})
+
+    async def _pass_on(self, announcement: AnnounceEndpoint) -> None:
+        try:
+            await self.parts.ask(announcement)
+        except FailureReplyError:
+            self.parts.book.forget(announcement.endpoint)
+            raise
+        self.parts.book.admit(announcement)
--- /dev/null
+++ b/mangotrail/_http_operators.py
@@ -0,0 +1,131 @@
+"""HTTP paths of operators."""
+
+from collections.abc import Callable
+from typing import TypeVar
+
+from blacksheep import Request, Response
+
+from mangotrail._gateway_parts import GatewayParts
+from mangotrail._http_common import (
+    Role,
+    convert,
+    decode_object,
+    json_response,
+    raw_response,
+    read_body,
+    read_path,
+    read_version,
+)
+from mangotrail._messages import (
+    Accepted,
+    CallBody,
+    DocumentReply,
+    QueryCall,
+    RollOutBundle,
+    SetZone,
+    SignBundle,
+    View,
+    WriteBundle,
+)
+from mangotrail.errors import InvalidInputError, ProtocolError
+
+CommandT = TypeVar('CommandT', WriteBundle, SignBundle, RollOutBundle, SetZone)
+
+
+class OperatorPaths:
+    """Serves bundles, zones and views of the state.
+
+    :param parts: parts of the gateway.
+    :param own_dump: returns what this process knows, for the dump.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: GatewayParts,
+        own_dump: Callable[[], dict[str, object]],
+    ) -> None:
+        self.parts = parts
+        self.own_dump = own_dump
+
+    async def write_bundle(self, request: Request) -> Response:
+        """Add a bundle version."""
+        return await self._command(request, WriteBundle)
+
+    async def sign_bundle(self, request: Request) -> Response:
+        """Sign off a bundle version."""
+        return await self._command(
+            request, SignBundle, version=self._version(request)
+        )
+
+    async def roll_out_bundle(self, request: Request) -> Response:
+        """Put a bundle version in force."""
+        return await self._command(
+            request, RollOutBundle, version=self._version(request)
+        )
+
+    async def set_zone(self, request: Request) -> Response:
+        """Take a zone out of service or back in."""
+        zone = read_path(request, 'zone')
+        return await self._command(request, SetZone, zone=zone)
+
+    async def view(self, request: Request) -> Response:
+        """Return the part of the state that the path names."""
+        self.parts.authenticator.require(request, Role.OPERATOR)
+        return await self._query(View(request.path.rsplit('/', 1)[-1]))
+
+    async def dump(self, request: Request) -> Response:
+        """Return all that one of the two processes knows."""
+        self.parts.authenticator.require(request, Role.OPERATOR)
+        process = request.query.get('process', ['gateway'])[0]
+        if process == 'gateway':
+            return json_response(self.own_dump())
+        if process == 'control':
+            return await self._query(View.DUMP)
+        raise InvalidInputError(
+            'There is no such process.',
+            field='process',
+            value=process,
+            allowed='gateway or control',
+            remedy='Correct the value.',
+        )
+
+    async def _query(self, view: View) -> Response:
+        reply = await self.parts.ask(QueryCall(view=view))
+        if not isinstance(reply, DocumentReply):
+            raise ProtocolError(f'unexpected reply {type(reply).__name__}')
+        return raw_response(reply.body)
+
+    async def _command(
+        self, request: Request, into: type[CommandT], **from_path: object
+    ) -> Response:
+        principal = self.parts.authenticator.require(request, Role.OPERATOR)
+        body = await read_body(request, self.parts.settings.http)
+        document = decode_object(body)
+        _refuse_reserved(document, ('kind', 'operator', *from_path))
+        command: CallBody = convert(
+            {**document, **from_path, 'operator': principal.name}, into
+        )
+        reply = await self.parts.ask(command)
+        if not isinstance(reply, Accepted):
+            raise ProtocolError(f'unexpected reply {type(reply).__name__}')
+        return json_response({'version': reply.version, 'digest': reply.digest})
+
+    def _version(self, request: Request) -> int:
+        # The credential comes first, so that strangers learn nothing.
+        self.parts.authenticator.require(request, Role.OPERATOR)
+        return read_version(read_path(request, 'version'), 'version')
+
+
+def _refuse_reserved(
+    document: dict[str, object], reserved: tuple[str, ...]
+) -> None:
+    for name in reserved:
+        if name in document:
+            raise InvalidInputError(
+                f'The field {name} is set by the server.',
+                field=name,
+                value=document[name],
+                allowed='no such field',
+                remedy='Remove the field.',
+            )
--- a/mangotrail/_messages.py
+++ b/mangotrail/_messages.py
@@ -777,6 +777,17 @@
     url: str
 
 
+class ReleaseOrder(
+    FrozenStruct, frozen=True, kw_only=True, tag_field='kind', tag='release'
+):
+    """
+    Ends this gateway's part in an attempt that another gateway adopted.
+    """
+
+    job: Annotated[JobId, Meta(max_length=128)]
+    attempt: Annotated[int, Meta(ge=1)]
+
+
 class ObserveOrder(
     FrozenStruct, frozen=True, kw_only=True, tag_field='kind', tag='observe'
 ):
@@ -799,7 +810,13 @@
 
 
 GatewayMessage: TypeAlias = Annotated[
-    Reply | DispatchOrder | StopOrder | ThrottleOrder | ObserveOrder | InForce,
+    Reply
+    | DispatchOrder
+    | StopOrder
+    | ThrottleOrder
+    | ReleaseOrder
+    | ObserveOrder
+    | InForce,
     Meta(description='What a control process sends to its gateway.'),
 ]
 
--- /dev/null
+++ b/mangotrail/_server.py
@@ -0,0 +1,194 @@
+"""HTTP server of the gateway, bounded in connections and in time."""
+
+import asyncio
+from collections.abc import Generator
+from contextlib import contextmanager
+from typing import Any
+
+import h11
+import msgspec
+from blacksheep import Application
+from uvicorn import Config, Server
+from uvicorn.protocols.http.h11_impl import H11Protocol
+
+from mangotrail._http_common import failure_document
+from mangotrail._messages import Failure
+from mangotrail._settings import Address, HttpSettings
+from mangotrail.errors import InvalidInputError, UnavailableError
+
+KEEP_ALIVE_S = 30
+# Callers leave this part of the connections to operators, endpoints and
+# health checks, so that many waiting callers cannot lock those out.
+RESERVED_DIVISOR = 8
+CALLER_PREFIX = '/v1/jobs'
+
+
+class BoundedProtocol(H11Protocol):
+    """Closes connections whose request head does not arrive in time."""
+
+    head_timeout_s = 10.0
+    max_connections = 512
+
+    head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(  # type: ignore[override]
+        self, transport: asyncio.Transport
+    ) -> None:
+        """Admit a connection, or close it if there are too many."""
+        super().connection_made(transport)
+        if len(self.connections) > self.max_connections:
+            transport.write(_refusal())
+            transport.close()
+            return
+        self._arm()
+
+    def data_received(self, data: bytes) -> None:
+        """Read a part of a request."""
+        super().data_received(data)
+        if self._waits_for_head():
+            self._arm()
+        else:
+            self._disarm()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget a connection."""
+        self._disarm()
+        super().connection_lost(exc)
+
+    def send_400_response(self, msg: str) -> None:
+        """Refuse what is no HTTP request."""
+        failure = InvalidInputError(
+            msg, field='request', allowed='HTTP/1.1', remedy='Correct it.'
+        ).to_failure()
+        self.transport.write(_raw_response(failure, 'Bad Request'))
+        self.transport.close()
+
+    def _waits_for_head(self) -> bool:
+        return (
+            self.conn.their_state is h11.IDLE
+            and self.conn.trailing_data[0] != b''
+        )
+
+    def _arm(self) -> None:
+        if self.head_timer is None:
+            self.head_timer = self.loop.call_later(
+                self.head_timeout_s, self._close_slow
+            )
+
+    def _disarm(self) -> None:
+        if self.head_timer is not None:
+            self.head_timer.cancel()
+            self.head_timer = None
+
+    def _close_slow(self) -> None:
+        self.head_timer = None
+        if self.conn.their_state is h11.IDLE:
+            self.transport.close()
+
+
+def _refusal() -> bytes:
+    failure = UnavailableError(
+        'This instance has too many connections.',
+        remedy='Send the request to another instance.',
+    ).to_failure()
+    return _raw_response(failure, 'Service Unavailable')
+
+
+def _raw_response(failure: Failure, phrase: str) -> bytes:
+    body = msgspec.json.encode(failure_document(failure))
+    head = (
+        f'HTTP/1.1 {failure.status} {phrase}\r\n'
+        f'content-type: application/json\r\n'
+        f'content-length: {len(body)}\r\nconnection: close\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+class BoundedApp:
+    """ASGI application that bounds and counts the requests in progress.
+
+    :param app: the application that serves admitted requests.
+    :param max_requests: bound on the requests in progress.
+    """
+
+    def __init__(self, *, app: Application, max_requests: int) -> None:
+        self.app = app
+        self.max_callers = max_requests - max_requests // RESERVED_DIVISOR
+        self.callers = 0
+        self.no_callers = asyncio.Event()
+        self.no_callers.set()
+
+    async def __call__(self, scope: Any, receive: Any, send: Any) -> None:
+        """Serve one ASGI scope."""
+        is_caller = scope['type'] == 'http' and scope['path'].startswith(
+            CALLER_PREFIX
+        )
+        if not is_caller:
+            await self.app(scope, receive, send)
+        elif self.callers >= self.max_callers:
+            await _send_refusal(send)
+        else:
+            await self._serve_caller(scope, receive, send)
+
+    async def _serve_caller(self, scope: Any, receive: Any, send: Any) -> None:
+        self.callers += 1
+        self.no_callers.clear()
+        try:
+            await self.app(scope, receive, send)
+        finally:
+            self.callers -= 1
+            if not self.callers:
+                self.no_callers.set()
+
+
+async def _send_refusal(send: Any) -> None:
+    failure = UnavailableError(
+        'This instance serves too many callers.',
+        remedy='Send the request to another instance.',
+    ).to_failure()
+    body = msgspec.json.encode(failure_document(failure))
+    headers = [
+        (b'content-type', b'application/json'),
+        (b'content-length', str(len(body)).encode()),
+    ]
+    await send({
+        'type': 'http.response.start',
+        'status': failure.status,
+        'headers': headers,
+    })
+    await send({'type': 'http.response.body', 'body': body})
+
+
+class GatewayServer(Server):
+    """Server whose owner decides when it ends."""
+
+    @contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Leave signals to the owner, which drains before it ends."""
+        yield
+
+
+def make_server(
+    app: BoundedApp, *, address: Address, bounds: HttpSettings
+) -> GatewayServer:
+    """Return a server for the application, not yet started."""
+
+    class Protocol(BoundedProtocol):
+        head_timeout_s = bounds.body_timeout_s
+        max_connections = bounds.max_connections
+
+    config = Config(
+        app,
+        host=address.host,
+        port=address.port,
+        loop='asyncio',
+        http=Protocol,
+        ws='none',
+        lifespan='on',
+        log_config=None,
+        access_log=False,
+        server_header=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=bounds.drain_timeout_s,
+    )
+    return GatewayServer(config)
--- /dev/null
+++ b/mangotrail/endpoints.py
@@ -0,0 +1,314 @@
+"""Client of the endpoint contract (docs/endpoint.md) and announcements."""
+
+import ipaddress
+from dataclasses import dataclass
+from enum import StrEnum
+from hashlib import sha256
+from urllib.parse import quote, urlsplit
+
+import msgspec
+
+from mangotrail._http_client import (
+    HttpClient,
+    HttpFailure,
+    HttpRequest,
+    HttpResponse,
+)
+from mangotrail._messages import AnnounceEndpoint
+from mangotrail.clock import Clock
+from mangotrail.errors import EndpointError, InvalidInputError
+from mangotrail.ids import EndpointId, JobId
+from mangotrail.pacing import Pacer, Purpose
+
+CALL_TIMEOUT_S = 5.0
+# Least rate that a paced transfer is expected to reach.
+MIN_TRANSFER_BYTES_S = 50_000
+MAX_KNOWN_ENDPOINTS = 10_000
+
+
+class EndpointState(StrEnum):
+    """What an endpoint says of an attempt."""
+
+    ANSWERED = 'answered'
+    FAILED = 'failed'
+    RUNNING = 'running'
+    UNKNOWN = 'unknown'
+    REFUSED = 'refused'
+
+
+class EndpointRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of the PUT that hands a request to an endpoint."""
+
+    payload: str
+    account: str
+    request: str
+    idempotent: bool
+    deadline_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class EndpointReply:
+    """State of an attempt, with the whole answer once there is one."""
+
+    state: EndpointState
+    body: bytes = b''
+    sha256: str = ''
+
+
+class EndpointCallError(EndpointError):
+    """A call got no usable reply.
+
+    :param sent: False only if no byte of the call left this process.
+    """
+
+    def __init__(self, message: str, *, sent: bool) -> None:
+        super().__init__(message)
+        self.sent = sent
+
+
+class WrongAnswerError(EndpointError):
+    """An answer is not whole, or belongs to another job or attempt."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class EndpointAttempt:
+    """Where one attempt runs, and the bounds of its answer."""
+
+    url: str
+    job: JobId
+    attempt: int
+    max_answer_bytes: int
+    pacer: Pacer | None = None
+
+    def path(self) -> str:
+        """Return the address of the attempt at its endpoint."""
+        job = quote(self.job, safe='')
+        return f'{self.url.rstrip("/")}/v1/requests/{job}/{self.attempt}'
+
+    def transfer_s(self) -> float:
+        """Return the seconds that the largest answer may take."""
+        return CALL_TIMEOUT_S + self.max_answer_bytes / MIN_TRANSFER_BYTES_S
+
+
+class EndpointClient:
+    """Calls the endpoints of services."""
+
+    def __init__(self, *, http: HttpClient) -> None:
+        self.http = http
+
+    async def put(
+        self, attempt: EndpointAttempt, request: EndpointRequest
+    ) -> EndpointReply:
+        """Hand the request over.
+
+        :raises EndpointCallError: if there was no usable reply.
+        :raises WrongAnswerError: if the answer must not be used.
+        """
+        return await self._call(
+            attempt,
+            'PUT',
+            attempt.path(),
+            timeout_s=attempt.transfer_s(),
+            body=msgspec.json.encode(request),
+        )
+
+    async def get(
+        self, attempt: EndpointAttempt, *, wait_s: float
+    ) -> EndpointReply:
+        """Ask for the answer and let the endpoint wait for it.
+
+        :raises EndpointCallError: if there was no usable reply.
+        :raises WrongAnswerError: if the answer must not be used.
+        """
+        return await self._call(
+            attempt,
+            'GET',
+            f'{attempt.path()}?wait_s={wait_s}',
+            timeout_s=wait_s + attempt.transfer_s(),
+        )
+
+    async def cancel(self, attempt: EndpointAttempt) -> None:
+        """Cancel the attempt for good.
+
+        :raises EndpointCallError: if there was no usable reply.
+        """
+        request = HttpRequest(
+            method='DELETE',
+            url=attempt.path(),
+            purpose=Purpose.ANSWER,
+            timeout_s=CALL_TIMEOUT_S,
+        )
+        response = await self._send(request)
+        if response.status not in {200, 404}:
+            raise EndpointCallError(
+                f'DELETE {attempt.path()}: status {response.status}', sent=True
+            )
+
+    async def _call(
+        self,
+        attempt: EndpointAttempt,
+        method: str,
+        url: str,
+        *,
+        timeout_s: float,
+        body: bytes = b'',
+    ) -> EndpointReply:
+        request = HttpRequest(
+            method=method,
+            url=url,
+            purpose=Purpose.PAYLOAD if body else Purpose.ANSWER,
+            timeout_s=timeout_s,
+            body=body,
+            headers={'content-type': 'application/json'} if body else {},
+            max_bytes=attempt.max_answer_bytes,
+            pacer=attempt.pacer,
+        )
+        return read_reply(attempt, await self._send(request))
+
+    async def _send(self, request: HttpRequest) -> HttpResponse:
+        try:
+            return await self.http.send(request)
+        except HttpFailure as failure:
+            raise EndpointCallError(
+                str(failure), sent=failure.sent
+            ) from failure
+
+
+def read_reply(
+    attempt: EndpointAttempt, response: HttpResponse
+) -> EndpointReply:
+    """Check a response and return what it says of the attempt.
+
+    :raises EndpointCallError: if the status is none of the contract.
+    :raises WrongAnswerError: if the answer must not be used.
+    """
+    match response.status:
+        case 200:
+            return _read_answer(attempt, response)
+        case 202:
+            return EndpointReply(state=EndpointState.RUNNING)
+        case 404:
+            return EndpointReply(state=EndpointState.UNKNOWN)
+        case 409 | 410 | 503:
+            return EndpointReply(
+                state=EndpointState.REFUSED, body=response.body
+            )
+    raise EndpointCallError(
+        f'{attempt.path()}: status {response.status}', sent=True
+    )
+
+
+def _read_answer(
+    attempt: EndpointAttempt, response: HttpResponse
+) -> EndpointReply:
+    owner = (
+        response.headers.get('mangotrail-job'),
+        response.headers.get('mangotrail-attempt'),
+    )
+    if owner != (quote(attempt.job, safe=''), str(attempt.attempt)):
+        raise WrongAnswerError(
+            f'{attempt.path()}: the answer belongs to job {owner[0]}'
+            f' attempt {owner[1]}'
+        )
+    digest = sha256(response.body).hexdigest()
+    if response.headers.get('mangotrail-sha256') != digest:
+        raise WrongAnswerError(
+            f'{attempt.path()}: the answer does not have its digest'
+        )
+    failed = response.headers.get('mangotrail-outcome') == 'failed'
+    return EndpointReply(
+        state=EndpointState.FAILED if failed else EndpointState.ANSWERED,
+        body=response.body,
+        sha256=digest,
+    )
+
+
+def check_announcement(announcement: AnnounceEndpoint) -> None:
+    """Check what the schema cannot express.
+
+    :raises InvalidInputError: if the url is no plain HTTP address of an IP.
+    """
+    problem = _url_problem(announcement.url)
+    if problem:
+        raise InvalidInputError(
+            f'The url of the endpoint {problem}.',
+            field='url',
+            value=announcement.url,
+            allowed='http://IP:PORT, optionally with a path',
+            remedy='Announce the IP number and port the endpoint listens on.',
+        )
+
+
+def _url_problem(url: str) -> str:
+    try:
+        parts = urlsplit(url)
+        port = parts.port
+    except ValueError:
+        return 'cannot be parsed'
+    if parts.scheme != 'http':
+        return 'does not use http'
+    if parts.username or parts.query or parts.fragment or port is None:
+        return 'is not of the allowed form'
+    try:
+        address = ipaddress.ip_address(parts.hostname or '')
+    except ValueError:
+        return 'does not name an IP number'
+    if address.is_unspecified or address.is_multicast:
+        return 'does not name the address of one machine'
+    return ''
+
+
+class HeartbeatBook:
+    """Announcements this gateway has passed on, and those heard since.
+
+    :param clock: source of ages.
+    :param max_age_s: seconds without a heartbeat until an endpoint is
+        forgotten, so that its next announcement is passed on again.
+    """
+
+    def __init__(self, *, clock: Clock, max_age_s: float) -> None:
+        self.clock = clock
+        self.max_age_s = max_age_s
+        self.known: dict[EndpointId, AnnounceEndpoint] = {}
+        self.heard_at_s: dict[EndpointId, float] = {}
+        self.heard: dict[str, int] = {}
+
+    def hear(self, announcement: AnnounceEndpoint) -> bool:
+        """Record a heartbeat; return False if it has to be passed on first."""
+        if self.known.get(announcement.endpoint) != announcement:
+            return False
+        self.heard[announcement.endpoint] = announcement.generation
+        self.heard_at_s[announcement.endpoint] = self.clock.age_s()
+        return True
+
+    def admit(self, announcement: AnnounceEndpoint) -> None:
+        """Record an announcement that the control process accepted."""
+        self._forget_silent()
+        self.known[announcement.endpoint] = announcement
+        self.hear(announcement)
+
+    def leave(self, endpoint: EndpointId, generation: int) -> None:
+        """Forget a generation that leaves."""
+        known = self.known.get(endpoint)
+        if known is not None and known.generation <= generation:
+            self.forget(endpoint)
+
+    def forget(self, endpoint: EndpointId) -> None:
+        """Forget an endpoint, so that it is passed on again."""
+        self.known.pop(endpoint, None)
+        self.heard.pop(endpoint, None)
+        self.heard_at_s.pop(endpoint, None)
+
+    def take(self) -> dict[str, int]:
+        """Return the endpoints heard since the last call, by generation."""
+        heard = self.heard
+        self.heard = {}
+        return heard
+
+    def _forget_silent(self) -> None:
+        oldest_s = self.clock.age_s() - self.max_age_s
+        for endpoint, heard_at_s in tuple(self.heard_at_s.items()):
+            if heard_at_s < oldest_s:
+                self.forget(endpoint)
+        while len(self.known) >= MAX_KNOWN_ENDPOINTS:
+            self.forget(next(iter(self.known)))
--- a/mangotrail/errors.py
+++ b/mangotrail/errors.py
@@ -206,3 +206,10 @@
 
     code = 'endpoint_error'
     status = HTTPStatus.BAD_GATEWAY
+
+
+class AnswerUnavailableError(MangotrailError):
+    """The answer of a finished job is no longer kept or cannot be fetched."""
+
+    code = 'answer_unavailable'
+    status = HTTPStatus.BAD_GATEWAY
--- /dev/null
+++ b/mangotrail/link.py
@@ -0,0 +1,159 @@
+"""Link of a gateway to the control process of its instance."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from contextlib import suppress
+
+import msgspec
+import zmq
+import zmq.asyncio
+from loguru import logger
+from zmq.utils.monitor import recv_monitor_message
+
+from mangotrail._messages import (
+    Call,
+    CallBody,
+    GatewayMessage,
+    Reply,
+    ReplyBody,
+)
+from mangotrail._settings import Address
+from mangotrail.errors import UnavailableError, UndecidedError
+
+MAX_FRAME_BYTES = 16 * 1024 * 1024
+MAX_PENDING_CALLS = 4096
+RECONNECT_MS = 50
+RECONNECT_MAX_MS = 500
+
+OrderHandler = Callable[[GatewayMessage], None]
+
+
+class ControlCalls(ABC):
+    """Calls to the control process."""
+
+    @abstractmethod
+    async def call(self, body: CallBody, *, timeout_s: float) -> ReplyBody:
+        """Send a call and return the body of its reply.
+
+        :raises UnavailableError: if the call was not handed over.
+        :raises UndecidedError: if it was, and no reply came in time.
+        """
+
+
+class ControlLink(ControlCalls):
+    """DEALER that sends numbered calls and receives replies and orders.
+
+    The link owns its socket and its two tasks; other tasks only call it.
+
+    :param address: where the control process listens for its gateway.
+    :param on_order: receives every message that is no reply.
+    """
+
+    def __init__(self, *, address: Address, on_order: OrderHandler) -> None:
+        self.address = address
+        self.on_order = on_order
+        self.connected = False
+        self._next_number = 1
+        self._pending: dict[int, asyncio.Future[ReplyBody]] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(GatewayMessage)
+        self._context = zmq.asyncio.Context()
+        self._socket = self._context.socket(zmq.DEALER)
+
+    async def run(self) -> None:
+        """Connect and receive until cancelled."""
+        link = self._socket
+        # Without a finished connection a send fails at once, which proves
+        # that the call has not been handed over.
+        link.setsockopt(zmq.IMMEDIATE, 1)
+        link.setsockopt(zmq.LINGER, 0)
+        link.setsockopt(zmq.RECONNECT_IVL, RECONNECT_MS)
+        link.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
+        link.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
+        link.setsockopt(zmq.IPV6, int(':' in self.address.host))
+        events = zmq.EVENT_CONNECTED | zmq.EVENT_DISCONNECTED
+        monitor = link.get_monitor_socket(events)
+        host = self.address.host
+        host = f'[{host}]' if ':' in host else host
+        link.connect(f'tcp://{host}:{self.address.port}')
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._receive())
+                group.create_task(self._watch(monitor))
+        finally:
+            link.disable_monitor()
+            link.close()
+            self._context.destroy(linger=0)
+
+    async def call(self, body: CallBody, *, timeout_s: float) -> ReplyBody:
+        """Send a call and return the body of its reply."""
+        number = self._next_number
+        self._next_number += 1
+        frame = self._encoder.encode(Call(number=number, body=body))
+        if len(self._pending) >= MAX_PENDING_CALLS:
+            raise UnavailableError(
+                'Too many calls wait for the control process.',
+                remedy='Send the request again later.',
+            )
+        reply: asyncio.Future[ReplyBody] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending[number] = reply
+        try:
+            await self._send(frame)
+            async with asyncio.timeout(timeout_s):
+                return await reply
+        except TimeoutError as error:
+            raise UndecidedError(
+                'The control process has not replied in time.',
+                remedy='Send the request again with the same id.',
+            ) from error
+        finally:
+            self._pending.pop(number, None)
+
+    async def _send(self, frame: bytes) -> None:
+        try:
+            await self._socket.send(frame, zmq.NOBLOCK)
+        except zmq.ZMQError as error:
+            raise UnavailableError(
+                'The control process of this instance cannot be reached.',
+                remedy='Send the request to another instance.',
+            ) from error
+
+    async def _receive(self) -> None:
+        while True:
+            frame = await self._socket.recv()
+            try:
+                message = self._decoder.decode(frame)
+            except msgspec.DecodeError as error:
+                logger.error('control message of unknown form: {}', error)
+                continue
+            if isinstance(message, Reply):
+                self._settle(message)
+            else:
+                self.on_order(message)
+
+    def _settle(self, message: Reply) -> None:
+        waiting = self._pending.get(message.number)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(message.body)
+
+    async def _watch(self, monitor: zmq.asyncio.Socket) -> None:
+        with suppress(zmq.ContextTerminated):
+            while True:
+                event = await recv_monitor_message(monitor)
+                self.connected = event['event'] == zmq.EVENT_CONNECTED
+                if not self.connected:
+                    self._fail_pending()
+
+    def _fail_pending(self) -> None:
+        # A control process that went away never replies to earlier calls.
+        for waiting in self._pending.values():
+            if not waiting.done():
+                waiting.set_exception(
+                    UndecidedError(
+                        'The control process went away before its reply.',
+                        remedy='Send the request again with the same id.',
+                    )
+                )
--- /dev/null
+++ b/mangotrail/pacing.py
@@ -0,0 +1,93 @@
+"""Paced transfers and the count of transferred bytes by purpose."""
+
+import asyncio
+from collections import Counter
+from enum import StrEnum
+
+from mangotrail._settings import Settings
+from mangotrail.clock import Clock
+
+LINK_BYTES_PER_S = 15_000_000 / 8
+# The rest of the link stays free for agreement and other control traffic.
+DATA_SHARE = 0.6
+BURST_BYTES = 65536
+
+
+class Purpose(StrEnum):
+    """What a transfer is for."""
+
+    ANSWER = 'answer'
+    PAYLOAD = 'payload'
+    PEER_ANSWER = 'peer_answer'
+    PLATFORM = 'platform'
+    OBSERVE = 'observe'
+
+
+class ByteCounts:
+    """Bytes sent and received since the start, by purpose."""
+
+    def __init__(self) -> None:
+        self.sent: Counter[str] = Counter()
+        self.received: Counter[str] = Counter()
+
+    def as_document(self) -> dict[str, dict[str, int]]:
+        """Return both directions for a JSON document."""
+        return {'sent': dict(self.sent), 'received': dict(self.received)}
+
+
+class Pacer:
+    """Token bucket that bounds the rate of all transfers that share it.
+
+    :param rate_bytes_s: mean rate in bytes a second.
+    :param clock: source of ages.
+    :param burst_bytes: bytes that pass without a delay after a pause.
+    """
+
+    def __init__(
+        self,
+        *,
+        rate_bytes_s: float,
+        clock: Clock,
+        burst_bytes: int = BURST_BYTES,
+    ) -> None:
+        self.rate_bytes_s = rate_bytes_s
+        self.clock = clock
+        self.burst_bytes = burst_bytes
+        # Age at which the bucket is full again.
+        self.full_at_s = clock.age_s()
+
+    def reserve(self, size_bytes: int) -> float:
+        """Take tokens and return the seconds to wait before their use."""
+        now_s = self.clock.age_s()
+        start_s = max(self.full_at_s, now_s)
+        self.full_at_s = start_s + size_bytes / self.rate_bytes_s
+        return max(
+            0.0,
+            self.full_at_s - now_s - self.burst_bytes / self.rate_bytes_s,
+        )
+
+    async def take(self, size_bytes: int) -> None:
+        """Wait until the rate admits the given number of bytes."""
+        delay_s = self.reserve(size_bytes)
+        if delay_s > 0:
+            await asyncio.sleep(delay_s)
+
+
+def link_rate_bytes_s(settings: Settings) -> float:
+    """Return the share of the region's link that one gateway may use.
+
+    :raises ValueError: if the settings do not name their own instance.
+    """
+    own_region = region_of_instance(settings, settings.instance)
+    neighbours = sum(peer.region == own_region for peer in settings.peers)
+    if not neighbours:
+        raise ValueError(f'no peer entry for {settings.instance}')
+    return LINK_BYTES_PER_S * DATA_SHARE / neighbours
+
+
+def region_of_instance(settings: Settings, instance: str) -> str | None:
+    """Return the region of an instance, or None if it is not a peer."""
+    for peer in settings.peers:
+        if peer.instance == instance:
+            return peer.region
+    return None
--- /dev/null
+++ b/mangotrail/renewal.py
@@ -0,0 +1,120 @@
+"""Renewal of leases, one call for each zone and period."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from loguru import logger
+
+from mangotrail.clock import Clock
+from mangotrail.errors import PlatformError
+from mangotrail.platform import LeaseResult, PlatformClient
+
+# A failed renewal is repeated well before the lease ends.
+RETRY_S = 1.0
+
+
+@dataclass(kw_only=True)
+class HeldLease:
+    """A lease that is renewed until it is released or lost.
+
+    :param renewed_at_s: age of the clock before the last successful renewal.
+    """
+
+    lease: str
+    renewed_at_s: float
+    lost: asyncio.Event = field(default_factory=asyncio.Event)
+    reason: str = ''
+    worker: str | None = None
+
+    def lose(self, reason: str, worker: str | None = None) -> None:
+        """Record that the gang has stopped."""
+        self.reason = reason
+        self.worker = worker
+        self.lost.set()
+
+
+class Renewals:
+    """Renews all held leases of a zone together.
+
+    :param platform: client of the worker contract.
+    :param clock: source of ages.
+    :param lease_s: life of a lease after a renewal in seconds.
+    :param renew_s: period of the renewals in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: PlatformClient,
+        clock: Clock,
+        lease_s: float,
+        renew_s: float,
+    ) -> None:
+        self.platform = platform
+        self.clock = clock
+        self.lease_s = lease_s
+        self.renew_s = renew_s
+        self.held: dict[str, dict[str, HeldLease]] = {}
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+
+    def hold(self, url: str, lease: str) -> HeldLease:
+        """Renew a lease from now on.
+
+        :param url: base URL of the platform of the zone.
+        """
+        held = HeldLease(lease=lease, renewed_at_s=self.clock.age_s())
+        self.held.setdefault(url, {})[lease] = held
+        if url not in self.tasks:
+            self.tasks[url] = asyncio.create_task(self._renew_zone(url))
+        return held
+
+    def release(self, url: str, lease: str) -> None:
+        """Renew a lease no longer."""
+        leases = self.held.get(url, {})
+        leases.pop(lease, None)
+        if not leases and url in self.tasks:
+            self.tasks.pop(url).cancel()
+
+    def close(self) -> None:
+        """Renew nothing any longer."""
+        for task in self.tasks.values():
+            task.cancel()
+        self.tasks.clear()
+
+    async def _renew_zone(self, url: str) -> None:
+        while True:
+            renewed = await self._renew_once(url)
+            period_s = self.renew_s if renewed else min(RETRY_S, self.renew_s)
+            await asyncio.sleep(period_s)
+
+    async def _renew_once(self, url: str) -> bool:
+        asked_at_s = self.clock.age_s()
+        leases = tuple(self.held[url].values())
+        try:
+            reply = await self.platform.renew(
+                url, [held.lease for held in leases], ttl_s=self.lease_s
+            )
+        except PlatformError as error:
+            logger.warning('leases not renewed: {}', error)
+            self._lose_expired(leases)
+            return False
+        by_lease = {result.lease: result for result in reply.results}
+        for held in leases:
+            self._record(held, by_lease.get(held.lease), asked_at_s)
+        return True
+
+    def _record(
+        self, held: HeldLease, result: LeaseResult | None, asked_at_s: float
+    ) -> None:
+        if result is None:
+            self._lose_expired((held,))
+        elif result.ok:
+            held.renewed_at_s = asked_at_s
+        else:
+            held.lose(result.reason or 'lease ended', result.worker)
+
+    def _lose_expired(self, leases: tuple[HeldLease, ...]) -> None:
+        now_s = self.clock.age_s()
+        for held in leases:
+            if now_s - held.renewed_at_s >= self.lease_s:
+                held.lose('lease could not be renewed')
