Join the gateway, the agreement and the decision core to one path

Cause: in the first joined run, 2 of 36 demo jobs ended as not run because the state wanted consecutive attempt numbers while the core also counts attempts whose grant was refused; one waited without a reason at an instance that does not lead.

--- a/Makefile
+++ b/Makefile
@@ -38,3 +38,6 @@
 
 test: install
 	$(BIN)/python -m pytest
+
+demo: install
+	$(BIN)/python -m examples.demo
--- a/mangotrail/_attempt.py
+++ b/mangotrail/_attempt.py
@@ -21,7 +21,7 @@
 from mangotrail.clock import Clock
 from mangotrail.endpoints import EndpointCallError, EndpointClient
 from mangotrail.errors import MangotrailError, PlatformError
-from mangotrail.ids import ZoneId
+from mangotrail.ids import WorkerId, ZoneId
 from mangotrail.link import ControlCalls
 from mangotrail.pacing import Pacer
 from mangotrail.platform import GangReply, PlatformClient, lease_name
@@ -68,7 +68,7 @@
 class NothingRanError(Exception):
     """The attempt ended before any begin was sent."""
 
-    def __init__(self, reason: str, worker: str | None = None) -> None:
+    def __init__(self, reason: str, worker: WorkerId | None = None) -> None:
         super().__init__(reason)
         self.reason = reason
         self.worker = worker
@@ -77,7 +77,7 @@
 class GangBrokenError(Exception):
     """A begin was sent, and the gang must not run any longer."""
 
-    def __init__(self, reason: str, worker: str | None = None) -> None:
+    def __init__(self, reason: str, worker: WorkerId | None = None) -> None:
         super().__init__(reason)
         self.reason = reason
         self.worker = worker
@@ -299,7 +299,7 @@
         return self._answer_report(result, runtime_s)
 
     async def _end_broken(
-        self, reason: str, worker: str | None
+        self, reason: str, worker: WorkerId | None
     ) -> AttemptReport:
         """Stop what is left of the gang and report what is proved."""
         began = await self._end_all(reason)
@@ -372,7 +372,7 @@
         )
 
     def _report(
-        self, status: AttemptStatus, reason: str, worker: str | None = None
+        self, status: AttemptStatus, reason: str, worker: WorkerId | None = None
     ) -> AttemptReport:
         return AttemptReport(
             job=self.order.job,
@@ -432,7 +432,7 @@
 
 def _first_refusal(
     reply: GangReply, order: DispatchOrder
-) -> tuple[str | None, str] | None:
+) -> tuple[WorkerId | None, str] | None:
     """Return the first worker that refused, with its reason."""
     for result in reply.results:
         if not result.ok:
--- a/mangotrail/_control_views.py
+++ b/mangotrail/_control_views.py
@@ -66,6 +66,7 @@
             for instance, seen in leader.fleet.gateways.items()
         },
         'quarantined': leader.quarantined,
+        'contradictions': leader.policy.counters,
         'waiting': len(leader.wait_reasons),
         'stops': len(leader.stops),
     }
--- a/mangotrail/_job_rules.py
+++ b/mangotrail/_job_rules.py
@@ -122,8 +122,8 @@
     """
     if record.state is not JobState.QUEUED or record.cancel_requested:
         raise UnavailableError('the job does not wait', field='job')
-    if body.attempt != record.attempt + 1:
-        raise UnavailableError('the attempt is not the next', field='attempt')
+    if body.attempt <= record.attempt:
+        raise UnavailableError('the attempt is not a new one', field='attempt')
     if record.ran and not record.job_spec.idempotent:
         raise UnavailableError('the job may have run before', field='job')
     if zone_state is not ZoneState.IN:
--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -29,6 +29,7 @@
     JobReply,
     JobState,
     Outcome,
+    ReleaseOrder,
     ReplyBody,
     RequeueJob,
     RollOutBundle,
@@ -255,6 +256,7 @@
         elif record.dispatcher != before.dispatcher:
             if before.state is not JobState.QUEUED:
                 self.adopted.add(record.job)
+                self._release_dispatcher(before)
             self._dispatch(record)
         elif record.state is not before.state:
             self.feed(GangStarted(job=record.job, attempt=record.attempt))
@@ -294,6 +296,12 @@
             )
         )
 
+    def _release_dispatcher(self, before: JobRecord) -> None:
+        """End the part of a dispatcher that lost its attempt to another."""
+        if before.dispatcher is not None:
+            order = ReleaseOrder(job=before.job, attempt=before.attempt)
+            self.send_order(before.dispatcher, order)
+
     def _forget(self, job: JobId) -> None:
         self.wait_reasons.pop(job, None)
         self.stops.pop(job, None)
--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -163,6 +163,10 @@
             waiters.discard(changed)
             if not waiters:
                 self.job_waiters.pop(job, None)
+        if self.leader is None and not self._finished(job):
+            # Only the leader knows why a job waits.
+            last = msgspec.structs.replace(body, wait_s=0)
+            return await self._ask_leader(last)
         return self._job_reply(body)
 
     def _finished(self, job: JobId) -> bool:
--- a/mangotrail/gateway.py
+++ b/mangotrail/gateway.py
@@ -4,6 +4,7 @@
 import signal
 from collections.abc import Callable, Coroutine
 from contextlib import suppress
+from secrets import token_hex
 from typing import Any
 
 from blacksheep import Application, Request, Response, Router
@@ -78,6 +79,8 @@
         self.settings = settings
         self.clock = clock or SystemClock()
         self.own = _own_peer(settings)
+        # The leader sends orders again to a process that forgot them.
+        self.boot = token_hex(8)
         self.stopping = asyncio.Event()
         self.status = GatewayStatus(clock=self.clock)
         self.link = ControlLink(
@@ -270,6 +273,7 @@
         hello = GatewayHello(
             instance=self.settings.instance,
             ready=not self.status.draining,
+            boot=self.boot,
             attempts=len(self.dispatcher.attempts),
             bundle_version=in_force.version if in_force else 0,
         )
--- a/mangotrail/observe.py
+++ b/mangotrail/observe.py
@@ -141,13 +141,18 @@
     ) -> None:
         self.platform = platform
         self.control = control
+        self.order: ObserveOrder | None = None
         self.tasks: list[asyncio.Task[None]] = []
 
     def handle(self, order: ObserveOrder) -> None:
         """Observe these zones only, from a full list on.
 
-        A new leader sends a new order and needs the full lists.
+        A new leader sends another epoch, because it needs the full lists; a
+        repeated order changes nothing.
         """
+        if order == self.order:
+            return
+        self.order = order
         self.close()
         for zone in order.zones:
             observer = ZoneObserver(
--- a/mangotrail/platform.py
+++ b/mangotrail/platform.py
@@ -9,7 +9,7 @@
 from mangotrail._http_client import HttpClient, HttpFailure, HttpRequest
 from mangotrail._messages import Placement
 from mangotrail.errors import PlatformError
-from mangotrail.ids import JobId
+from mangotrail.ids import JobId, WorkerId
 from mangotrail.pacing import Purpose
 
 CALL_TIMEOUT_S = 5.0
@@ -23,7 +23,7 @@
     :param began: whether the member has begun at any time.
     """
 
-    worker: str
+    worker: WorkerId
     ok: bool
     reason: str = ''
     began: bool = False
@@ -45,7 +45,7 @@
     lease: str
     ok: bool
     reason: str = ''
-    worker: str | None = None
+    worker: WorkerId | None = None
 
 
 class RenewReply(msgspec.Struct, frozen=True, kw_only=True):
@@ -58,7 +58,7 @@
 class LeaseMember(msgspec.Struct, frozen=True, kw_only=True):
     """State of one member of a lease."""
 
-    worker: str
+    worker: WorkerId
     began: bool = False
     running: bool = False
     checkpointed: bool = False
--- a/mangotrail/renewal.py
+++ b/mangotrail/renewal.py
@@ -7,6 +7,7 @@
 
 from mangotrail.clock import Clock
 from mangotrail.errors import PlatformError
+from mangotrail.ids import WorkerId
 from mangotrail.platform import LeaseResult, PlatformClient
 
 # A failed renewal is repeated well before the lease ends.
@@ -24,9 +25,9 @@
     renewed_at_s: float
     lost: asyncio.Event = field(default_factory=asyncio.Event)
     reason: str = ''
-    worker: str | None = None
+    worker: WorkerId | None = None
 
-    def lose(self, reason: str, worker: str | None = None) -> None:
+    def lose(self, reason: str, worker: WorkerId | None = None) -> None:
         """Record that the gang has stopped."""
         self.reason = reason
         self.worker = worker
