--- a/mangotrail/_replication.py
+++ b/mangotrail/_replication.py
@@ -49,6 +49,8 @@
     def accept(self, match_index: int) -> None:
         """Note that the peer holds the log durably up to an index."""
         self.match_index = max(self.match_index, match_index)
+        if self.probing and self.in_flight:
+            self.next_index = self.in_flight[-1] + 1
         self.next_index = max(self.next_index, self.match_index + 1)
         self.probing = False
         while self.in_flight and self.in_flight[0] <= self.match_index:
@@ -255,8 +257,10 @@
             batch = self.batch(peer.next_index)
             previous_index = peer.next_index - 1
             previous_term = self.log.term_at(previous_index) or 0
-            peer.next_index = batch[-1].index + 1
             peer.in_flight.append(batch[-1].index)
+            # While probing, the refusal of this very batch is awaited.
+            if not peer.probing:
+                peer.next_index = batch[-1].index + 1
             yield self.append(
                 peer, (previous_index, previous_term), batch, commit, now_s
             )
