Index free capacity by zone and remember failed searches by zone

Change: workers are indexed by their number of free accelerators and by the accounts with cells there; a failed search is remembered until something changes in its zone; endpoint distances are derived once per change.

--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -121,6 +121,13 @@
         self.queue_of(job).queued -= 1
         self.freed += 1
 
+    def last_reservation_s(self) -> float:
+        """Return the latest time before which work may backfill."""
+        return max(
+            (one.before_s for one in self.claims.values()),
+            default=float('-inf'),
+        )
+
     def return_claim(self, job: Job) -> None:
         """End the claim of a job and put it back into its line."""
         self.drop_claim(job)
--- a/mangotrail/_endpoint_choice.py
+++ b/mangotrail/_endpoint_choice.py
@@ -4,7 +4,7 @@
 from collections.abc import Sequence
 
 from mangotrail.events import EndpointStatus
-from mangotrail.ids import EndpointId, ServiceId, WorkerId
+from mangotrail.ids import EndpointId, ServiceId, WorkerId, ZoneId
 from mangotrail.topology import Topology, Zone
 
 
@@ -15,23 +15,49 @@
         self.by_service: dict[ServiceId, list[EndpointStatus]] = {}
         # Attempts in progress at each endpoint; ties go to the least busy.
         self.busy: Counter[EndpointId] = Counter()
+        # Derived from endpoints and open zones, see forget().
+        self.in_open_zones: dict[ServiceId, list[EndpointStatus]] = {}
+        self.by_zone: dict[ServiceId, dict[ZoneId, int]] = {}
 
     def replace(self, endpoints: Sequence[EndpointStatus]) -> None:
         """Take over the list of all endpoints."""
         self.by_service = {}
         for status in sorted(endpoints, key=lambda one: one.endpoint):
             self.by_service.setdefault(status.service, []).append(status)
+        self.forget()
+
+    def forget(self) -> None:
+        """Forget what was derived, after a zone changed."""
+        self.in_open_zones.clear()
+        self.by_zone.clear()
 
     def serving(
         self, topology: Topology, service: ServiceId
     ) -> list[EndpointStatus]:
         """Return the endpoints of a service in zones that take work."""
-        return [
-            status
-            for status in self.by_service.get(service, ())
-            if status.zone in topology.zones
-            and topology.zones[status.zone].open
-        ]
+        if service not in self.in_open_zones:
+            self.in_open_zones[service] = [
+                status
+                for status in self.by_service.get(service, ())
+                if status.zone in topology.zones
+                and topology.zones[status.zone].open
+            ]
+        return self.in_open_zones[service]
+
+    def distances(
+        self, topology: Topology, service: ServiceId
+    ) -> dict[ZoneId, int]:
+        """Return how far each zone is from the closest endpoint."""
+        if service not in self.by_zone:
+            serving = self.serving(topology, service)
+            self.by_zone[service] = {
+                zone.zone: min(
+                    _distance(topology, status, zone, set())
+                    for status in serving
+                )
+                for zone in topology.zones.values()
+            }
+        return self.by_zone[service]
 
     def choose(
         self,
@@ -53,14 +79,6 @@
             ),
         )
 
-    def zone_distance(
-        self, topology: Topology, serving: list[EndpointStatus], zone: Zone
-    ) -> int:
-        """Return the distance of the closest endpoint to a zone."""
-        return min(
-            _distance(topology, status, zone, set()) for status in serving
-        )
-
 
 def _distance(
     topology: Topology,
--- a/mangotrail/_inventory.py
+++ b/mangotrail/_inventory.py
@@ -12,6 +12,7 @@
     """Put a bundle in force; jobs, queues and claims go on."""
     old = core.topology
     core.bundle = event.bundle
+    core.endpoints.forget()
     if old is None or core.zone_specs != event.bundle.zones:
         for job_id in tuple(core.claims):
             core.return_claim(core.jobs[job_id])
@@ -93,6 +94,7 @@
         elif worker.healthy != status.healthy:
             changed = True
             worker.healthy = status.healthy
+            worker.zone.freed += 1
             if not status.healthy:
                 _lose(core, worker)
     if changed:
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -9,7 +9,7 @@
 from mangotrail._messages import MemberPlacement, Placement
 from mangotrail._preemption import claim, is_broken, is_ready, reclaim
 from mangotrail._reservation import Reservation, reservations
-from mangotrail.events import EndpointStatus, Place
+from mangotrail.events import Place
 from mangotrail.placement import (
     Reach,
     Want,
@@ -19,9 +19,11 @@
 )
 from mangotrail.topology import Spot, Zone
 
-# Placement searches in one call of handle(); the rest waits for the next call,
+# Searches of one zone in one call of handle(); the rest waits for the next call,
 # which bounds the decision time.
-MAX_SEARCHES = 16
+MAX_SEARCHES = 64
+# Failed searches that are remembered.
+MAX_FAILED = 10000
 # A head of the queue that waited this long reserves capacity. Reserving at
 # once would hold capacity back for jobs that start soon anyway.
 RESERVE_AFTER_S = 60.0
@@ -48,9 +50,9 @@
     def __init__(self, core: Core) -> None:
         self.core = core
         self.searches = 0
-        # Searches that failed since capacity was last freed.
-        self.failed: set[tuple[object, ...]] = set()
-        self.failed_at = -1
+        # Searches that failed, and the state of the zone at that time.
+        self.failed: dict[tuple[object, ...], int] = {}
+        self.reviewed_at = -1
         self.unfinished = False
         # Moving homes is slow, so it is tried once in a call of handle().
         self.moved = False
@@ -64,7 +66,7 @@
         if core.topology is None:
             return
         self._serve_claims()
-        changed = self.failed_at != core.freed or self.unfinished
+        changed = self.reviewed_at != core.freed or self.unfinished
         if changed or core.now_s >= self.reviewed_s + REVIEW_S:
             self._review()
             return
@@ -77,7 +79,9 @@
         core = self.core
         self.reviewed_s = core.now_s
         core.fresh = []
-        self._forget_failures()
+        self.reviewed_at = core.freed
+        if len(self.failed) > MAX_FAILED:
+            self.failed.clear()
         self.unfinished = False
         for job in core.shares.in_order(core.now_s):
             if self.searches >= MAX_SEARCHES:
@@ -85,11 +89,6 @@
                 return
             self.try_start(job)
 
-    def _forget_failures(self) -> None:
-        if self.failed_at != self.core.freed:
-            self.failed.clear()
-            self.failed_at = self.core.freed
-
     def _serve_claims(self) -> None:
         core = self.core
         for job_id, pending in list(core.claims.items()):
@@ -135,36 +134,46 @@
         """Return the zones that may take the job, closest endpoint first."""
         core = self.core
         assert core.topology is not None
-        topology = core.topology
-        serving = core.endpoints.serving(topology, job.spec.service)
+        distances = core.endpoints.distances(core.topology, job.spec.service)
         zones = [
             zone
-            for zone in zones_that_hold(topology, job.spec.shape)
+            for zone in zones_that_hold(core.topology, job.spec.shape)
             if zone.open and (job.spec.urgent or not zone.ramping)
         ]
-        return sorted(zones, key=lambda zone: _zone_rank(core, serving, zone))
+        return sorted(zones, key=lambda zone: (distances[zone.zone], zone.free))
 
     def _search(
         self, want: Want, zones: list[Zone], reaches: Iterable[Reach]
     ) -> _Found | None:
         for reach in reaches:
             memo = self._memo(want, reach)
-            if memo in self.failed:
-                continue
-            self.searches += 1
             for zone in zones:
+                if self.failed.get((zone.zone, *memo)) == zone.freed:
+                    continue
+                self.searches += 1
                 spots = place_in_zone(zone, want, reach)
                 if spots is not None:
                     return _Found(zone, spots)
-            self.failed.add(memo)
+                self.failed[zone.zone, *memo] = zone.freed
         return None
 
     def _memo(self, want: Want, reach: Reach) -> tuple[object, ...]:
-        """Return what decides whether a search finds anything."""
+        """Return what decides whether a search in a zone finds anything."""
         spec = self.core.shares.accounts[want.account].spec
-        owner = want.account if spec.guarantees else None
-        length_s = want.ends_s - self.core.now_s if self.core.claims else 0
-        return reach, owner, want.shape, want.pinned, want.urgent, length_s
+        owner = want.account if spec.guarantees else ''
+        length_s = want.ends_s - self.core.now_s
+        if self.core.last_reservation_s() < want.ends_s:
+            length_s = float('inf')
+        return (
+            reach.value,
+            owner,
+            want.shape.members,
+            want.shape.accelerators,
+            want.shape.level.value,
+            want.pinned,
+            want.urgent,
+            length_s,
+        )
 
     def _reclaim(self, job: Job, want: Want, zones: list[Zone]) -> bool:
         reaches = []
@@ -184,10 +193,11 @@
         if self.moved:
             self.unfinished = True
             return False
-        memo = self._memo(want, Reach.BORROW)
-        if memo in self.failed:
+        memo = ('move', *self._memo(want, Reach.BORROW))
+        state = sum(zone.freed for zone in zones)
+        if self.failed.get(memo) == state:
             return False
-        self.searches += 1
+        self.searches += len(zones)
         loose = want._replace(pinned=False)
         choices = [
             _Found(zone, spots)
@@ -196,7 +206,7 @@
         ]
         found = self._first_movable(job, choices)
         if found is None:
-            self.failed.add(memo)
+            self.failed[memo] = state
             return False
         self.start(job, found.zone, found.spots)
         return True
@@ -281,14 +291,6 @@
     ]
 
 
-def _zone_rank(
-    core: Core, serving: list[EndpointStatus], zone: Zone
-) -> tuple[int, int]:
-    assert core.topology is not None
-    distance = core.endpoints.zone_distance(core.topology, serving, zone)
-    return distance, zone.free
-
-
 def _reaches(want: Want) -> list[Reach]:
     reaches = [Reach.OWN, Reach.OPEN]
     if not want.pinned:
--- a/mangotrail/_zones.py
+++ b/mangotrail/_zones.py
@@ -26,12 +26,14 @@
         return
     was_open = zone.open
     zone.state = event.state
+    zone.freed += 1
     if zone.open:
         if not was_open:
             _return(core, zone)
     else:
         _leave(core, zone, event.deadline_s)
     core.freed += 1
+    core.endpoints.forget()
     core.plan_guarantees()
 
 
--- a/mangotrail/fairness.py
+++ b/mangotrail/fairness.py
@@ -33,12 +33,13 @@
 
     def head(self) -> Job:
         """Return the oldest job."""
-        heads = [
-            next(iter(part.values()))
-            for part in (self.again, self.fresh)
-            if part
-        ]
-        return min(heads, key=lambda job: job.submitted_s)
+        again = next(iter(self.again.values()), None)
+        fresh = next(iter(self.fresh.values()), None)
+        if again is None or fresh is None:
+            head = fresh or again
+            assert head is not None
+            return head
+        return again if again.submitted_s <= fresh.submitted_s else fresh
 
     def remove(self, job: JobId) -> None:
         """Take a job out."""
@@ -61,10 +62,16 @@
         self.charged = 0.0
 
     @property
-    def guaranteed(self) -> int:
-        """Return the accelerators of all guaranteed cells."""
-        return sum(
-            shape.accelerators * shape.count for shape in self.spec.guarantees
+    def spec(self) -> AccountSpec:
+        """Return the account as the bundle in force describes it."""
+        return self._spec
+
+    @spec.setter
+    def spec(self, spec: AccountSpec) -> None:
+        self._spec = spec
+        # Accelerators of all guaranteed cells.
+        self.guaranteed = sum(
+            shape.accelerators * shape.count for shape in spec.guarantees
         )
 
     def push(self, job: Job) -> None:
--- a/mangotrail/guarantees.py
+++ b/mangotrail/guarantees.py
@@ -156,11 +156,20 @@
         for cell, home in homes:
             for worker, mask in home:
                 worker.reserve(cell.account, mask)
-        return {
+        for zone in topology.zones.values():
+            zone.with_cells = {}
+        concerned = {worker for _, home in homes for worker, _ in home}
+        for worker in topology.walk():
+            for account in worker.own:
+                worker.zone.with_cells.setdefault(account, []).append(worker)
+        changed = {
             worker
-            for worker in topology.walk()
+            for worker in concerned.union(before)
             if worker.own != before.get(worker, {})
         }
+        for worker in changed:
+            worker.zone.freed += 1
+        return changed
 
 
 class _Plan:
--- a/mangotrail/placement.py
+++ b/mangotrail/placement.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator, Sequence
 from enum import Enum
+from itertools import chain
 from typing import NamedTuple
 
 from mangotrail._blocks import count_blocks, full_mask, take_block
@@ -23,6 +24,10 @@
     DISPLACE = 'displace'
 
 
+# Searches that need cells of the account itself.
+OWNERS = (Reach.OWN, Reach.RECLAIM)
+
+
 class Want(NamedTuple):
     """A gang to place.
 
@@ -106,7 +111,7 @@
     worker: Worker, want: Want, reach: Reach, mask: int
 ) -> int:
     slots, connections = worker.free_slots, worker.free_connections
-    if reach in {Reach.RECLAIM, Reach.DISPLACE}:
+    if reach is Reach.RECLAIM or reach is Reach.DISPLACE:
         for hold in worker.holds.values():
             if is_displaceable(hold, want, reach):
                 slots += hold.slots
@@ -117,35 +122,29 @@
         connections -= claimed
     if want.shape.accelerators:
         slots = min(slots, connections)
-    if want.pinned and mask & ~worker.own.get(want.account, 0) or not mask:
-        slots = _within_spare(worker, want, slots)
-    return slots
-
-
-def _within_spare(worker: Worker, want: Want, slots: int) -> int:
     if not want.pinned:
         return slots
     if not want.shape.accelerators:
         return min(slots, worker.spare_slots)
-    return min(slots, worker.spare_slots, worker.spare_connections)
+    if mask & ~worker.own.get(want.account, 0):
+        return min(slots, worker.spare_slots, worker.spare_connections)
+    return slots
 
 
 def _fit(worker: Worker, want: Want, reach: Reach) -> Fit | None:
     size = want.shape.accelerators
-    if not worker.free_slots and reach not in {Reach.RECLAIM, Reach.DISPLACE}:
-        return None
-    if not size:
-        count = _members_by_slots(worker, want, reach, 0)
-        rest = worker.free.bit_count() * worker.slots + worker.free_slots
-        return Fit(count, rest, 0, worker) if count > 0 else None
-    mask = takeable(worker, want, reach)
-    count = count_blocks(mask, size)
-    if not count:
-        return None
+    mask = takeable(worker, want, reach) if size else 0
+    if size:
+        count = count_blocks(mask, size)
+        if not count:
+            return None
+        rest = mask.bit_count() - count * size
+    else:
+        count = worker.slots
+        # Workers with few accelerators first, then those with few free slots.
+        rest = worker.accelerators * worker.slots + worker.free_slots
     count = min(count, _members_by_slots(worker, want, reach, mask))
-    if count <= 0:
-        return None
-    return Fit(count, mask.bit_count() - count * size, mask, worker)
+    return Fit(count, rest, mask, worker) if count > 0 else None
 
 
 def _fits(workers: Iterable[Worker], want: Want, reach: Reach) -> Iterator[Fit]:
@@ -156,6 +155,18 @@
                 yield fit
 
 
+def _may_fit(zone: Zone, want: Want, reach: Reach) -> Iterable[Worker]:
+    """Return the workers of a zone that can hold a member at all."""
+    size = want.shape.accelerators
+    if not size:
+        return zone.workers
+    if reach is Reach.OWN:
+        return zone.with_cells.get(want.account, ())
+    if reach is Reach.RECLAIM or reach is Reach.DISPLACE:
+        return zone.with_accelerators
+    return chain.from_iterable(zone.by_free[size:])
+
+
 def _choose(fits: Sequence[Fit], members: int, size: int) -> list[Spot]:
     """Fill whole workers first, then the tightest worker that remains."""
     left = members
@@ -227,16 +238,19 @@
     The fullest rack comes first, so that empty racks are left to large gangs.
     """
     shape = want.shape
-    free_only = reach not in {Reach.RECLAIM, Reach.DISPLACE}
-    need = shape.members * shape.accelerators if free_only else 0
-    if zone.free < need or (free_only and zone.free_slots < shape.members):
+    need = shape.members * shape.accelerators
+    if reach is Reach.RECLAIM or reach is Reach.DISPLACE:
+        need = 0
+    elif zone.free < need or zone.free_slots < shape.members:
+        return
+    if reach in OWNERS and want.account not in zone.with_cells:
         return
     if shape.members == 1 or shape.level is GangLevel.WORKER:
-        found = _single(zone.workers, want, reach)
+        found = _single(_may_fit(zone, want, reach), want, reach)
         if found:
             yield found
         return
-    domains = [zone.workers]
+    domains: list[Iterable[Worker]] = [_may_fit(zone, want, reach)]
     if shape.level is GangLevel.RACK:
         racks = sorted(zone.racks, key=lambda one: one.free)
         domains = [rack.workers for rack in racks if rack.free >= need]
--- a/mangotrail/topology.py
+++ b/mangotrail/topology.py
@@ -147,11 +147,9 @@
     def hold(self, job: JobId, hold: Hold) -> None:
         """Take what a job holds here; the caller checked that it is free."""
         self.holds[job] = hold
-        self.free &= ~hold.mask
+        self._set_free(self.free & ~hold.mask)
         self.free_slots -= hold.slots
         self.free_connections -= hold.connections
-        self.rack.free -= hold.mask.bit_count()
-        self.zone.free -= hold.mask.bit_count()
         self.zone.free_slots -= hold.slots
         if hold.pinned:
             self.pinned |= hold.mask
@@ -163,11 +161,10 @@
     def release(self, job: JobId) -> None:
         """Give back what a job holds here."""
         hold = self.holds.pop(job)
-        self.free |= hold.mask
+        self._set_free(self.free | hold.mask)
+        self.zone.freed += 1
         self.free_slots += hold.slots
         self.free_connections += hold.connections
-        self.rack.free += hold.mask.bit_count()
-        self.zone.free += hold.mask.bit_count()
         self.zone.free_slots += hold.slots
         if hold.pinned:
             self.pinned &= ~hold.mask
@@ -176,6 +173,15 @@
         else:
             self.soft &= ~hold.mask
 
+    def _set_free(self, mask: int) -> None:
+        before, after = self.free.bit_count(), mask.bit_count()
+        self.free = mask
+        if before != after:
+            self.rack.free += after - before
+            self.zone.free += after - before
+            del self.zone.by_free[before][self]
+            self.zone.by_free[after][self] = None
+
     def add_claim(self, job: JobId, claim: Claim) -> None:
         """Keep capacity for a job that waits for it."""
         self.claims[job] = claim
@@ -185,6 +191,7 @@
     def drop_claim(self, job: JobId) -> None:
         """End the claim of a job."""
         claim = self.claims.pop(job)
+        self.zone.freed += 1
         self.claimed &= ~claim.mask
         self.claimed_slots -= claim.slots
 
@@ -229,6 +236,8 @@
         self.slots = spec.slots
         self.connections = spec.connections
         self.state = ZoneState.IN
+        # Number of changes that can let a waiting job start here.
+        self.freed = 0
         # Starts that the ramp after a return still allows, None without one.
         self.ramp_left: float | None = None
         self.ramp_ends_s = 0.0
@@ -238,6 +247,18 @@
         self.workers = tuple(
             worker for rack in self.racks for worker in rack.workers
         )
+        largest = max(rack.accelerators for rack in self.racks)
+        # Workers by their number of free accelerators.
+        self.by_free: list[dict[Worker, None]] = [
+            {} for _ in range(largest + 1)
+        ]
+        for worker in self.workers:
+            self.by_free[worker.accelerators][worker] = None
+        self.with_accelerators = tuple(
+            worker for worker in self.workers if worker.accelerators
+        )
+        # Workers with guaranteed cells of each account.
+        self.with_cells: dict[AccountId, list[Worker]] = {}
         self.free = sum(rack.free for rack in self.racks)
         self.free_slots = spec.slots * len(self.workers)
 
