--- a/mangotrail/_bundle.py
+++ b/mangotrail/_bundle.py
@@ -31,7 +31,9 @@
     Cells of adjacent accelerators that an account can always reclaim.
     """
 
-    level: Level
+    level: Annotated[
+        Level, Meta(description='Part of the topology that holds each cell.')
+    ]
     accelerators: Annotated[
         int,
         Meta(description='Adjacent accelerators in one cell.', ge=1, le=4096),
@@ -46,10 +48,21 @@
     A client account, its guarantees and its limits.
     """
 
-    account: Annotated[AccountId, Meta(max_length=64, min_length=1)]
-    guarantees: Annotated[Sequence[GuaranteedShape], Meta(max_length=64)] = (
-        field(default_factory=list)
-    )
+    account: Annotated[
+        AccountId,
+        Meta(
+            description='Name of the client account.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    guarantees: Annotated[
+        Sequence[GuaranteedShape],
+        Meta(
+            description='Shapes that the account can always reclaim.',
+            max_length=64,
+        ),
+    ] = field(default_factory=list)
     weight: Annotated[
         int,
         Meta(
@@ -76,7 +89,10 @@
     A service whose endpoints answer requests.
     """
 
-    service: Annotated[ServiceId, Meta(max_length=64, min_length=1)]
+    service: Annotated[
+        ServiceId,
+        Meta(description='Name of the service.', max_length=64, min_length=1),
+    ]
 
 
 class RackSpec(FrozenStruct, frozen=True, kw_only=True):
@@ -84,8 +100,22 @@
     A rack of equal workers.
     """
 
-    rack: Annotated[str, Meta(max_length=64, min_length=1)]
-    workers: Annotated[Sequence[WorkerId], Meta(max_length=256, min_length=1)]
+    rack: Annotated[
+        str,
+        Meta(
+            description='Name of the rack, unique in its zone.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    workers: Annotated[
+        Sequence[WorkerId],
+        Meta(
+            description='Names of the workers, unique in the bundle.',
+            max_length=256,
+            min_length=1,
+        ),
+    ]
     accelerators: Annotated[
         int, Meta(description='Accelerators of each worker.', ge=0, le=64)
     ] = 8
@@ -103,8 +133,18 @@
     An availability zone with its workers.
     """
 
-    zone: Annotated[ZoneId, Meta(max_length=64, min_length=1)]
-    region: Annotated[RegionId, Meta(max_length=64, min_length=1)]
+    zone: Annotated[
+        ZoneId,
+        Meta(
+            description='Name of the availability zone.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    region: Annotated[
+        RegionId,
+        Meta(description='Region of the zone.', max_length=64, min_length=1),
+    ]
     platform_url: Annotated[
         str,
         Meta(
@@ -113,7 +153,10 @@
             min_length=1,
         ),
     ]
-    racks: Annotated[Sequence[RackSpec], Meta(max_length=256, min_length=1)]
+    racks: Annotated[
+        Sequence[RackSpec],
+        Meta(description='Racks of the zone.', max_length=256, min_length=1),
+    ]
     slots: Annotated[
         int,
         Meta(description='Tasks that a worker runs at once.', ge=1, le=1024),
@@ -174,12 +217,27 @@
     One version of the configuration that operators write, sign and roll out.
     """
 
-    schema_version: Annotated[int, Meta(ge=1, le=1)]
+    schema_version: Annotated[
+        int, Meta(description='Version of this format.', ge=1, le=1)
+    ]
     services: Annotated[
-        Sequence[ServiceSpec], Meta(max_length=256, min_length=1)
+        Sequence[ServiceSpec],
+        Meta(
+            description='Services that endpoints can announce.',
+            max_length=256,
+            min_length=1,
+        ),
+    ]
+    zones: Annotated[
+        Sequence[ZoneSpec],
+        Meta(
+            description='Availability zones with their workers.',
+            max_length=64,
+            min_length=1,
+        ),
     ]
-    zones: Annotated[Sequence[ZoneSpec], Meta(max_length=64, min_length=1)]
     accounts: Annotated[
-        Sequence[AccountSpec], Meta(max_length=1024, min_length=1)
+        Sequence[AccountSpec],
+        Meta(description='Client accounts.', max_length=1024, min_length=1),
     ]
-    limits: LimitSpec
+    limits: Annotated[LimitSpec, Meta(description='Limits for every account.')]
--- a/mangotrail/_settings.py
+++ b/mangotrail/_settings.py
@@ -21,8 +21,15 @@
     An IP address and a TCP port.
     """
 
-    host: Annotated[str, Meta(max_length=45, min_length=2)]
-    port: Annotated[int, Meta(ge=1, le=65535)]
+    host: Annotated[
+        str,
+        Meta(
+            description='IPv4 or IPv6 number; names are refused.',
+            max_length=45,
+            min_length=2,
+        ),
+    ]
+    port: Annotated[int, Meta(description='Port number.', ge=1, le=65535)]
 
 
 class PeerSettings(FrozenStruct, frozen=True, kw_only=True):
@@ -30,12 +37,39 @@
     One instance of the deployment, as each instance knows it.
     """
 
-    instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
-    zone: Annotated[ZoneId, Meta(max_length=64, min_length=1)]
-    region: Annotated[RegionId, Meta(max_length=64, min_length=1)]
-    control: Address
-    gateway: Address
-    has_disk: bool
+    instance: Annotated[
+        InstanceId,
+        Meta(
+            description='Name of the instance, unique in the deployment.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    zone: Annotated[
+        ZoneId,
+        Meta(
+            description='Availability zone that the instance is in.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    region: Annotated[
+        RegionId,
+        Meta(description='Region of that zone.', max_length=64, min_length=1),
+    ]
+    control: Annotated[
+        Address,
+        Meta(description='Where other control processes reach this one.'),
+    ]
+    gateway: Annotated[
+        Address, Meta(description='Where the gateway serves HTTP.')
+    ]
+    has_disk: Annotated[
+        bool,
+        Meta(
+            description='Whether the instance can vote; needed in at least 3 zones.'
+        ),
+    ]
 
 
 class LogFormat(StrEnum):
@@ -51,8 +85,12 @@
 
 
 class LogSettings(FrozenStruct, frozen=True, kw_only=True):
-    format: LogFormat = LogFormat.HUMAN
-    level: LogLevel = LogLevel.INFO
+    format: Annotated[
+        LogFormat, Meta(description='Lines for people or JSON lines.')
+    ] = LogFormat.HUMAN
+    level: Annotated[
+        LogLevel, Meta(description='Lowest level that is written.')
+    ] = LogLevel.INFO
 
 
 class HttpSettings(FrozenStruct, frozen=True, kw_only=True):
@@ -60,12 +98,50 @@
     Bounds of the HTTP server of the gateway.
     """
 
-    max_body_bytes: Annotated[int, Meta(ge=1024, le=16777216)] = 1048576
-    body_timeout_s: Annotated[int, Meta(ge=1, le=600)] = 10
-    max_connections: Annotated[int, Meta(ge=8, le=65536)] = 512
-    drain_timeout_s: Annotated[int, Meta(ge=1, le=86400)] = 300
-    answer_cache_bytes: Annotated[int, Meta(ge=0, le=1073741824)] = 33554432
-    answer_cache_s: Annotated[int, Meta(ge=1, le=86400)] = 600
+    max_body_bytes: Annotated[
+        int,
+        Meta(
+            description='Largest request body in bytes.', ge=1024, le=16777216
+        ),
+    ] = 1048576
+    body_timeout_s: Annotated[
+        int,
+        Meta(
+            description='Seconds within which a request body must arrive.',
+            ge=1,
+            le=600,
+        ),
+    ] = 10
+    max_connections: Annotated[
+        int,
+        Meta(
+            description='Connections that the gateway accepts at once.',
+            ge=8,
+            le=65536,
+        ),
+    ] = 512
+    drain_timeout_s: Annotated[
+        int,
+        Meta(
+            description='Longest graceful shutdown in seconds.', ge=1, le=86400
+        ),
+    ] = 300
+    answer_cache_bytes: Annotated[
+        int,
+        Meta(
+            description='Memory for answers that are kept for retries, in bytes.',
+            ge=0,
+            le=1073741824,
+        ),
+    ] = 33554432
+    answer_cache_s: Annotated[
+        int,
+        Meta(
+            description='Seconds for which such an answer is kept.',
+            ge=1,
+            le=86400,
+        ),
+    ] = 600
 
 
 class TimingSettings(FrozenStruct, frozen=True, kw_only=True):
@@ -73,14 +149,65 @@
     Periods and timeouts in milliseconds.
     """
 
-    heartbeat_ms: Annotated[int, Meta(ge=20, le=5000)] = 300
-    election_min_ms: Annotated[int, Meta(ge=100, le=30000)] = 1200
-    election_max_ms: Annotated[int, Meta(ge=150, le=60000)] = 2000
-    authority_ms: Annotated[int, Meta(ge=50, le=20000)] = 1000
-    confirm_ms: Annotated[int, Meta(ge=100, le=4000)] = 2000
-    lease_ms: Annotated[int, Meta(ge=1000, le=600000)] = 15000
-    renew_ms: Annotated[int, Meta(ge=200, le=200000)] = 5000
-    endpoint_ttl_ms: Annotated[int, Meta(ge=1000, le=600000)] = 15000
+    heartbeat_ms: Annotated[
+        int,
+        Meta(
+            description='Time between two heartbeats of the leader.',
+            ge=20,
+            le=5000,
+        ),
+    ] = 300
+    election_min_ms: Annotated[
+        int,
+        Meta(
+            description='Shortest silence after which a voter stands for election; must exceed authority_ms.',
+            ge=100,
+            le=30000,
+        ),
+    ] = 1200
+    election_max_ms: Annotated[
+        int, Meta(description='Longest such silence.', ge=150, le=60000)
+    ] = 2000
+    authority_ms: Annotated[
+        int,
+        Meta(
+            description="Time for which a quorum's acknowledgement lets the leader decide; must exceed twice heartbeat_ms.",
+            ge=50,
+            le=20000,
+        ),
+    ] = 1000
+    confirm_ms: Annotated[
+        int,
+        Meta(
+            description='Age from which the confirmation of a begin is void.',
+            ge=100,
+            le=4000,
+        ),
+    ] = 2000
+    lease_ms: Annotated[
+        int,
+        Meta(
+            description='Time for which tasks run without renewal; must exceed twice renew_ms.',
+            ge=1000,
+            le=600000,
+        ),
+    ] = 15000
+    renew_ms: Annotated[
+        int,
+        Meta(
+            description='Time between two renewals of a lease.',
+            ge=200,
+            le=200000,
+        ),
+    ] = 5000
+    endpoint_ttl_ms: Annotated[
+        int,
+        Meta(
+            description='Silence after which an endpoint receives no new work.',
+            ge=1000,
+            le=600000,
+        ),
+    ] = 15000
 
 
 class Settings(FrozenStruct, frozen=True, kw_only=True):
@@ -88,9 +215,25 @@
     Settings of both processes of one instance.
     """
 
-    schema_version: Annotated[int, Meta(ge=1, le=1)]
-    deployment: Annotated[str, Meta(max_length=64, min_length=1)]
-    instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
+    schema_version: Annotated[
+        int, Meta(description='Version of this format.', ge=1, le=1)
+    ]
+    deployment: Annotated[
+        str,
+        Meta(
+            description='Name of the deployment; frames of other ones are refused.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
+    instance: Annotated[
+        InstanceId,
+        Meta(
+            description='Name of this instance; must be among peers.',
+            max_length=64,
+            min_length=1,
+        ),
+    ]
     peers: Annotated[
         Sequence[PeerSettings],
         Meta(
@@ -105,20 +248,33 @@
             description='Where the control process listens for its own gateway.'
         ),
     ]
-    credentials_file: Annotated[str, Meta(max_length=4096, min_length=1)]
-    log: LogSettings
-    http: HttpSettings
-    timing: TimingSettings
+    credentials_file: Annotated[
+        str,
+        Meta(
+            description='Absolute path of the credentials file.',
+            max_length=4096,
+            min_length=1,
+        ),
+    ]
+    log: Annotated[LogSettings, Meta(description='What is logged.')]
+    http: Annotated[HttpSettings, Meta(description='Bounds of the gateway.')]
+    timing: Annotated[TimingSettings, Meta(description='Periods and timeouts.')]
     data_folder: (
         Annotated[
             str,
             Meta(
-                description='Folder of the journal; null on an instance without a disk.'
+                description='Absolute path of the folder of the journal; null exactly on an instance without a disk.'
             ),
         ]
         | None
     ) = None
-    statsd: Address | None = None
+    statsd: (
+        Annotated[
+            Address,
+            Meta(description='statsd server for metrics; null for none.'),
+        ]
+        | None
+    ) = None
 
 
 class Credentials(FrozenStruct, frozen=True, kw_only=True):
--- a/mangotrail/commands_remote.py
+++ b/mangotrail/commands_remote.py
@@ -34,14 +34,14 @@
         """Define the flags for server and credential."""
         flags.DEFINE_list(
             'server',
-            os.environ.get(SERVER_VARIABLE, ''),
+            None,
             'Base URLs of gateways, tried in this order; default from '
             f'{SERVER_VARIABLE}.',
             flag_values=values,
         )
         flags.DEFINE_string(
             'credentials',
-            os.environ.get(CREDENTIALS_VARIABLE),
+            None,
             f'Credentials file; default from {CREDENTIALS_VARIABLE}.',
             flag_values=values,
         )
@@ -96,11 +96,15 @@
     :raises UsageError: if a flag is missing.
     :raises SettingsError: if the file has no such credential.
     """
-    if not any(values.server):
+    # Read here and not as defaults of the flags, so that help texts and the
+    # pages written from them are the same everywhere.
+    servers = values.server or os.environ.get(SERVER_VARIABLE, '').split(',')
+    if not any(servers):
         raise UsageError(f'--server or {SERVER_VARIABLE} must be set')
-    if not values.credentials:
+    path = values.credentials or os.environ.get(CREDENTIALS_VARIABLE)
+    if not path:
         raise UsageError(f'--credentials or {CREDENTIALS_VARIABLE} must be set')
-    credentials = load_credentials(values.credentials)
+    credentials = load_credentials(path)
     tokens: Mapping[str, str] = getattr(credentials, command.role)
     holder: str | None = values[command.holder].value
     if holder is None and len(tokens) == 1:
@@ -117,9 +121,7 @@
             allowed=', '.join(tokens),
             remedy=f'Correct --{command.holder} or the file.',
         )
-    client = Client(
-        values.server, token=tokens[holder], timeout_s=values.timeout_s
-    )
+    client = Client(servers, token=tokens[holder], timeout_s=values.timeout_s)
     return client, holder
 
 
