--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -214,7 +214,7 @@
     reference = _reference(part)
     if 'anyOf' in part:
         return f'{reference} or null'
-    if '$ref' in part:
+    if reference and '$ref' in part:
         values = definitions[reference].get('enum')
         return (
             ', '.join(f'`{value}`' for value in values or ()) or f'{reference}'
