Send undecided requests to the next server with the same id

Cause: a gateway claims not-run only for the first submission of a job, so operator commands never went to a second gateway when the first had lost its control process. Every changing request carries an id and takes effect once. Change: the client sends it on, marks repeated submissions with retry=true, and drops the not-run claim of a refusal that follows an undecided sending.

--- a/examples/submit_job.py
+++ b/examples/submit_job.py
@@ -39,7 +39,7 @@
         client.submit_job(spec)
     except UndecidedError:
         # The same request id joins the first job if there is one.
-        client.submit_job(spec)
+        client.submit_job(spec, again=True)
     return client.wait_job(spec.account, spec.request, wait_s=WAIT_S)
 
 
--- a/mangotrail/client.py
+++ b/mangotrail/client.py
@@ -35,8 +35,9 @@
 class Client:
     """Calls gateways until one takes the request.
 
-    A request goes to the next server only while it is proven that the last
-    one did nothing, or if it only reads.
+    Every request that changes something carries an id (operation, request,
+    endpoint and generation), so that it takes effect once although it is sent
+    to the next server after one that did not answer.
 
     :param servers: base URLs of gateways, tried in this order.
     :param token: bearer token.
@@ -116,10 +117,19 @@
         query = urlencode({'process': process})
         return self.call(HTTPMethod.GET, f'/admin/v1/dump?{query}')
 
-    def submit_job(self, spec: JobSpec) -> JobView:
-        """Submit a job, or join the one with the same request id."""
+    def submit_job(self, spec: JobSpec, *, again: bool = False) -> JobView:
+        """Submit a job, or join the one with the same request id.
+
+        :param again: whether the id may have been sent before; a refusal then
+            proves nothing about the earlier submission.
+        """
+        path = '/v1/jobs'
+        again_path = f'{path}?retry=true'
         reply = self.call(
-            HTTPMethod.POST, '/v1/jobs', msgspec.to_builtins(spec)
+            HTTPMethod.POST,
+            again_path if again else path,
+            msgspec.to_builtins(spec),
+            again_path=again_path,
         )
         return _convert(reply, JobView)
 
@@ -185,28 +195,36 @@
         body: Mapping[str, Any] | None = None,
         *,
         extra_s: float = 0,
+        again_path: str | None = None,
     ) -> Document:
         """Send one request and return the JSON object of the reply.
 
         :param extra_s: seconds that the server may wait before it answers.
+        :param again_path: path for sending it again, if another one.
         :raises UnavailableError: if no server took the request.
-        :raises UndecidedError: if the request was sent but not answered.
-        :raises MangotrailError: the error that the server answered.
+        :raises UndecidedError: if a server may have taken it, but no answer
+            tells what happened.
+        :raises MangotrailError: the error that a server answered.
         """
         content = None if body is None else msgspec.json.encode(body)
+        undecided: errors.UndecidedError | None = None
         failure: errors.MangotrailError | None = None
         for server in self.servers:
+            if undecided is not None:
+                path = again_path or path
             try:
                 return self._call_server(server, method, path, content, extra_s)
-            except errors.UnavailableError as unavailable:
-                failure = unavailable
-            except errors.UndecidedError as undecided:
-                if method is not HTTPMethod.GET:
-                    raise
-                failure = _unavailable(server, undecided)
-        if failure is None:
-            raise _unavailable('(none)', ValueError('no server is set'))
-        raise failure
+            except errors.UnavailableError as error:
+                failure = error
+            except errors.UndecidedError as error:
+                failure = _unavailable(server, error)
+                undecided = None if method is HTTPMethod.GET else error
+            except errors.MangotrailError as error:
+                if undecided is not None:
+                    # It says nothing about the earlier sending.
+                    vars(error)['not_run'] = False
+                raise
+        raise undecided or failure or _unavailable('(none)', ValueError('none'))
 
     def _act_on_bundle(
         self, version: int, action: str, digest: str, operation: OperationId
--- a/mangotrail/commands_job.py
+++ b/mangotrail/commands_job.py
@@ -80,7 +80,7 @@
         spec = _job_spec(values, AccountId(account))
         again = f'--request {spec.request} --created_at {spec.created_at_s}'
         sys.stderr.write(f'to send again: {again}\n')
-        view = client.submit_job(spec)
+        view = client.submit_job(spec, again=bool(values.request))
         if values.wait_s and view.state is not JobState.FINISHED:
             view = client.wait_job(
                 spec.account, spec.request, wait_s=values.wait_s
@@ -156,7 +156,12 @@
     )
     for name, default, meaning in (
         ('payload', None, 'File with the payload in UTF-8.'),
-        ('request', None, 'Request id; a new one by default.'),
+        (
+            'request',
+            None,
+            'Request id; a new one by default. It may have been sent before, '
+            'so a refusal then does not claim that nothing ran.',
+        ),
         ('job_kind', 'default', 'Jobs of one kind share learned run times.'),
     ):
         flags.DEFINE_string(name, default, meaning, flag_values=values)
--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -123,8 +123,8 @@
         'error.',
         '`MANGOTRAIL_SERVER` and `MANGOTRAIL_CREDENTIALS` set the defaults of '
         '`--server` and `--credentials`. With several servers, a request goes '
-        'to the next one only if it is proven that the last one did nothing, '
-        'or if it only reads.',
+        'to the next one if the last one did not answer; its id makes it take '
+        'effect once.',
         'Commands that change something print their operation id before they '
         'send it. If the outcome is unknown (exit code 6), run the same '
         'command again with `--operation` and that id: it takes effect once.',
