Keep OpenSSL out of the control process, show whole digests in tables

Operators could not copy a digest from bundle list, and times were shown in seconds since the epoch. Change: the control command makes ssl and _hashlib absent before asyncio is imported; tables show digests whole, times in UTC and shapes in one cell.

--- a/mangotrail/commands_process.py
+++ b/mangotrail/commands_process.py
@@ -1,8 +1,9 @@
 """Subcommands that run a process or look at the files of one instance."""
 
-import asyncio
+import sys
 from collections.abc import Coroutine, Sequence
 from importlib import import_module
+from importlib.util import find_spec
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +12,6 @@
 from mangotrail._settings import Settings
 from mangotrail.commands import Command, ExitCode, print_json
 from mangotrail.errors import SettingsError
-from mangotrail.logs import configure_logs
 from mangotrail.settings import load_credentials, load_settings, own_peer
 
 
@@ -38,6 +38,7 @@
 
     def run(self, values: flags.FlagValues, arguments: Sequence[str]) -> int:
         """Run until the process is told to stop."""
+        omit_openssl()
         return _run_process(values, 'control')
 
 
@@ -140,14 +141,36 @@
     write_identity(Path(settings.data_folder or ''), identity)
 
 
+def omit_openssl() -> None:
+    """Keep OpenSSL out of this process, which has no TLS.
+
+    It took 5 MB of a leader's 36 MB, and a control process may have 32 MB. A
+    module that is None cannot be imported; asyncio and hashlib then do
+    without it.
+    """
+    omitted: dict[str, Any] = {'ssl': None}
+    # Some builds of Python have SHA-256 in OpenSSL only.
+    if find_spec('_sha256') or find_spec('_sha2'):
+        omitted['_hashlib'] = None
+    sys.modules.update(omitted)
+
+
+def run_coroutine(running: Coroutine[Any, Any, None]) -> None:
+    """Run a process until it ends."""
+    # Imported here so that omit_openssl comes first.
+    import asyncio
+
+    asyncio.run(running)
+
+
 def _run_process(values: flags.FlagValues, process: str) -> int:
     settings = load_settings(values.settings)
     credentials = load_credentials(settings.credentials_file)
+    # loguru imports asyncio, which imports OpenSSL unless it is omitted.
+    from mangotrail.logs import configure_logs
+
     configure_logs(settings.log, settings.instance, process)
     # Imported here so that a control process never loads the HTTP server.
     module = import_module(f'mangotrail.{process}')
-    running: Coroutine[Any, Any, None] = getattr(module, f'run_{process}')(
-        settings, credentials
-    )
-    asyncio.run(running)
+    run_coroutine(getattr(module, f'run_{process}')(settings, credentials))
     return ExitCode.DONE
--- a/mangotrail/commands_remote.py
+++ b/mangotrail/commands_remote.py
@@ -147,7 +147,7 @@
     report = {'version': accepted.version, 'digest': accepted.digest}
     if values.json:
         print_json({'accepted': True, **report})
-    elif accepted.version:
+    elif accepted.digest:
         print(f'accepted: version {accepted.version}, {accepted.digest}')
     else:
         print('accepted')
--- a/mangotrail/tables.py
+++ b/mangotrail/tables.py
@@ -1,9 +1,13 @@
 """Plain text tables for people."""
 
 from collections.abc import Mapping, Sequence
+from datetime import UTC, datetime
 from typing import Any
 
-MAX_WIDTH = 48
+# A digest must be shown whole, because operators copy it.
+MAX_WIDTH = 64
+MAX_INLINE_FIELDS = 4
+TIME_FIELDS = frozenset(('written_s', 'in_force_s', 'changed_s'))
 
 
 def format_table(rows: Sequence[Mapping[str, Any]]) -> str:
@@ -14,8 +18,10 @@
     if not rows:
         return '(none)'
     names = list(dict.fromkeys(name for row in rows for name in row))
-    lines = [[name.upper() for name in names]]
-    lines.extend([_cell(row.get(name)) for name in names] for row in rows)
+    lines = [[_heading(name) for name in names]]
+    lines.extend(
+        [_named_cell(name, row.get(name)) for name in names] for row in rows
+    )
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     return '\n'.join(_align(line, widths) for line in lines)
 
@@ -27,6 +33,20 @@
     return '  '.join(cells).rstrip()
 
 
+def _heading(name: str) -> str:
+    if name in TIME_FIELDS:
+        name = f'{name.removesuffix("_s")} (UTC)'
+    return name.replace('_', ' ').upper()
+
+
+def _named_cell(name: str, value: Any) -> str:
+    if name not in TIME_FIELDS or not isinstance(value, int | float):
+        return _cell(value)
+    if not value:
+        return '-'
+    return f'{datetime.fromtimestamp(value, UTC):%Y-%m-%d %H:%M:%S}'
+
+
 def _cell(value: Any) -> str:
     if value is None or value == '':
         return '-'
@@ -35,7 +55,9 @@
     if isinstance(value, float):
         return f'{value:.3f}'.rstrip('0').rstrip('.')
     if isinstance(value, dict):
-        return f'({len(value)} fields)'
+        if len(value) > MAX_INLINE_FIELDS:
+            return f'({len(value)} fields)'
+        return '/'.join(map(_cell, value.values()))
     if isinstance(value, list):
         text = ', '.join(map(_cell, value))
         return text if len(text) <= MAX_WIDTH else f'({len(value)} items)'
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -223,36 +223,45 @@
 
     def test_format(self) -> None:
         """Control characters of a caller could rewrite the screen."""
-        rows = [{'a': '\x1b[2J', 'b': True}, {'b': 1.5, 'c': [1, {'d': 2}]}]
+        shape = {'level': 'rack', 'accelerators': 4, 'count': 2}
+        rows = [{'a': '\x1b[2J', 'b': True}, {'b': 1.5, 'c_d': [1, shape]}]
         assert format_table(rows).splitlines() == [
-            'A     B    C',
+            'A     B    C D',
             '?[2J  yes  -',
-            '-     1.5  1, (1 fields)',
+            '-     1.5  1, rack/4/2',
         ]
 
+    def test_whole_digest(self) -> None:
+        """An operator must be able to copy a digest for the next command."""
+        digest = 'd' * 64
+        row = {'digest': digest, 'written_s': 86400.5, 'in_force_s': 0}
+        head, line = format_table([row]).splitlines()
+        assert head.split() == [
+            'DIGEST',
+            'WRITTEN',
+            '(UTC)',
+            'IN',
+            'FORCE',
+            '(UTC)',
+        ]
+        assert line.split() == [digest, '1970-01-02', '00:00:00', '-']
 
-CONTROL_PATH = """
-import asyncio, pathlib, sys, types
-from mangotrail import cli
-
-async def run_control(settings, credentials):
-    pass
 
-if not pathlib.Path(cli.__file__).with_name('control.py').exists():
-    module = types.ModuleType('mangotrail.control')
-    module.run_control = run_control
-    sys.modules['mangotrail.control'] = module
-asyncio.run = lambda coroutine: coroutine.close()
+CONTROL_PATH = """
+import sys
+from mangotrail import cli, commands_process
+commands_process.run_coroutine = lambda running: running.close()
 code = cli.main(['control', '--settings', sys.argv[1]])
-print(code, *sys.modules)
+loaded = [name for name, module in sys.modules.items() if module]
+print(code, *loaded)
 """
 
 
 class TestControlPath:
     """Modules of the control process."""
 
-    def test_loads_no_http(self, tmp_path: Path) -> None:
-        """HTTP libraries would take the control process over 32 MB."""
+    def test_loads_only_needed(self, tmp_path: Path) -> None:
+        """HTTP and OpenSSL would take the control process over 32 MB."""
         settings = deploy(tmp_path).settings['soweto-yard-1']
         words = [sys.executable, '-c', CONTROL_PATH, str(settings)]
         done = subprocess.run(  # noqa: S603
@@ -265,6 +274,8 @@
             'blacksheep',
             'uvicorn',
             'http.client',
+            'ssl',
+            '_hashlib',
             'mangotrail.client',
             'mangotrail.gateway',
             'mangotrail.commands_remote',
