--- a/examples/standins/endpoint.py
+++ b/examples/standins/endpoint.py
@@ -9,13 +9,21 @@
 import json
 import signal
 import time
+from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from hashlib import sha256
 from typing import Any
 from urllib.parse import quote, urlsplit
 
-from blacksheep import Application, Content, Request, Response, Router
+from blacksheep import (
+    Application,
+    Content,
+    Request,
+    Response,
+    Router,
+    StreamedContent,
+)
 
 from examples.standins._service import (
     as_handler,
@@ -25,6 +33,7 @@
     reply,
 )
 
+ANSWER_TYPE = b'application/octet-stream'
 HEARTBEAT_S = 5.0
 RETRY_S = 0.5
 MAX_WAIT_S = 60.0
@@ -36,7 +45,7 @@
 
     :param answer_s: seconds until an answer.
     :param answer_bytes: size of an answer.
-    :param fault: none, `cut`, `crossed`, `failed` or `refuse`.
+    :param fault: none, `cut`, `short`, `crossed`, `failed` or `refuse`.
     :param faults_left: answers until the fault ends, negative for ever.
     """
 
@@ -200,10 +209,21 @@
             ),
         ]
         if fault == 'cut':
+            cut = StreamedContent(ANSWER_TYPE, _cut(body), len(body))
+            return Response(200, headers, cut)
+        if fault == 'short':
             body = body[: len(body) // 2]
-        return Response(
-            200, headers, Content(b'application/octet-stream', body)
-        )
+        return Response(200, headers, Content(ANSWER_TYPE, body))
+
+
+def _cut(body: bytes) -> Callable[[], AsyncIterator[bytes]]:
+    """Return a body whose connection ends in the middle."""
+
+    async def stream() -> AsyncIterator[bytes]:
+        yield body[: len(body) // 2]
+        raise ConnectionAbortedError('answer cut by a fault')
+
+    return stream
 
 
 def make_answer(run: Run, size: int) -> bytes:
--- a/mangotrail/_endpoint_run.py
+++ b/mangotrail/_endpoint_run.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
 from loguru import logger
 
+from mangotrail._attempt_tools import AttemptTools
 from mangotrail._messages import AttemptStatus, DispatchOrder
 from mangotrail.endpoints import (
+    AnswerTooLargeError,
     EndpointAttempt,
     EndpointCallError,
     EndpointReply,
@@ -15,9 +16,7 @@
     EndpointState,
     WrongAnswerError,
 )
-
-if TYPE_CHECKING:
-    from mangotrail._attempt import AttemptTools
+from mangotrail.errors import EndpointError
 
 POLL_WAIT_S = 20.0
 # Bounds the polls of an endpoint that replies at once instead of waiting.
@@ -42,7 +41,7 @@
     :param tools: what all attempts share.
     """
 
-    def __init__(self, *, order: DispatchOrder, tools: 'AttemptTools') -> None:
+    def __init__(self, *, order: DispatchOrder, tools: AttemptTools) -> None:
         self.order = order
         self.tools = tools
         # Whether the endpoint may have received any part of the payload.
@@ -65,6 +64,10 @@
                     )
                 await asyncio.sleep(next(pauses))
                 continue
+            except AnswerTooLargeError as error:
+                return RunResult(
+                    status=AttemptStatus.FAILED, reason=error.message
+                )
             except EndpointCallError as error:
                 silent_s = self.tools.clock.age_s() - heard_at_s
                 if silent_s >= self.tools.endpoint_lost_s:
@@ -86,7 +89,7 @@
             return None
         try:
             reply = await self.tools.endpoints.get(self._target(), wait_s=0)
-        except (EndpointCallError, WrongAnswerError):
+        except EndpointError:
             return None
         if reply.state in {EndpointState.ANSWERED, EndpointState.FAILED}:
             return _read_result(reply)
--- a/mangotrail/_gateway_parts.py
+++ b/mangotrail/_gateway_parts.py
@@ -1,6 +1,7 @@
 """What the parts of a gateway share."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from mangotrail._http_common import Authenticator, FailureReplyError
@@ -25,6 +26,7 @@
 class GatewayStatus:
     """State of the gateway process.
 
+    :param is_connected: reads whether the control process accepts calls.
     :param in_force: newest bundle that the control process has named.
     :param hello_at_s: age of the clock at the last reply to a hello.
     :param draining: whether a graceful shutdown has begun.
@@ -32,6 +34,7 @@
     """
 
     clock: Clock
+    is_connected: Callable[[], bool]
     in_force: InForce | None = None
     hello_at_s: float | None = None
     draining: bool = False
@@ -39,7 +42,7 @@
 
     def is_linked(self) -> bool:
         """Return whether the control process replies."""
-        if self.hello_at_s is None:
+        if self.hello_at_s is None or not self.is_connected():
             return False
         return self.clock.age_s() - self.hello_at_s < HELLO_SILENCE_S
 
--- a/mangotrail/_http_callers.py
+++ b/mangotrail/_http_callers.py
@@ -36,6 +36,7 @@
     UnavailableError,
 )
 from mangotrail.ids import AccountId, RequestId
+from mangotrail.pacing import Purpose
 
 MAX_WAIT_S = 3600.0
 # A short wait for each call finds callers that have gone away meanwhile.
@@ -76,6 +77,9 @@
         """Return the state of a job, after a wait for its end."""
         account, request_id = self._own_job(request)
         wait_s = read_number(request, 'wait_s', default=0, most=MAX_WAIT_S)
+        if self.parts.status.draining:
+            # Another instance can wait; the callers here are served first.
+            wait_s = 0
         kept = self.parts.answers.get((account, request_id))
         if kept is not None and _wants_answer(request):
             return self._answer_response(account, request_id, kept.body)
@@ -172,6 +176,7 @@
         self, account: AccountId, request_id: RequestId, answer: bytes
     ) -> Response:
         self.parts.answers.mark_delivered((account, request_id))
+        self.parts.counts.sent[Purpose.PEER_ANSWER] += len(answer)
         return raw_response(answer, content_type=ANSWER_TYPE.encode())
 
 
--- a/mangotrail/_http_client.py
+++ b/mangotrail/_http_client.py
@@ -28,6 +28,10 @@
         self.sent = sent
 
 
+class BodyTooLargeFailure(HttpFailure):
+    """A response body is over its bound."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class HttpResponse:
     """A whole response."""
@@ -85,7 +89,7 @@
         try:
             async with asyncio.timeout_at(deadline):
                 return await self._exchange(request, reader, writer)
-        except (OSError, TimeoutError, h11.RemoteProtocolError) as error:
+        except (OSError, TimeoutError, h11.ProtocolError) as error:
             raise HttpFailure(
                 f'{request.method} {request.url}: {_describe(error)}', sent=True
             ) from error
@@ -137,7 +141,9 @@
             elif isinstance(event, h11.Data):
                 incoming.body += event.data
                 if len(incoming.body) > request.max_bytes:
-                    raise OSError(f'body is over {request.max_bytes} bytes')
+                    raise BodyTooLargeFailure(
+                        f'body is over {request.max_bytes} bytes', sent=True
+                    )
             elif isinstance(event, h11.EndOfMessage):
                 return HttpResponse(
                     status=incoming.status,
--- a/mangotrail/_http_common.py
+++ b/mangotrail/_http_common.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from blacksheep import Content, Request, Response
+from blacksheep.exceptions import MessageAborted
 
 from mangotrail._messages import Failure
 from mangotrail._settings import Credentials, HttpSettings
@@ -114,6 +115,10 @@
                 body += chunk
                 if len(body) > bounds.max_body_bytes:
                     raise too_large(str(len(body)), bounds.max_body_bytes)
+    except MessageAborted as error:
+        raise InvalidInputError(
+            'The sender left before the end of the body.', field='body'
+        ) from error
     except TimeoutError as error:
         raise InvalidInputError(
             'The body did not arrive in time.',
@@ -145,7 +150,7 @@
     """
     try:
         document = msgspec.json.decode(body)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, RecursionError) as error:
         raise InvalidInputError(
             f'The body is no JSON: {error}',
             field='body',
@@ -280,7 +285,11 @@
 
 def failure_response(failure: Failure) -> Response:
     """Return a typed error as JSON."""
-    return json_response(failure_document(failure), failure.status)
+    response = json_response(failure_document(failure), failure.status)
+    if failure.field_name == 'body':
+        # The rest of a refused body is not read.
+        response.set_header(b'connection', b'close')
+    return response
 
 
 def failure_document(failure: Failure) -> dict[str, dict[str, object]]:
--- a/mangotrail/dispatch.py
+++ b/mangotrail/dispatch.py
@@ -7,7 +7,9 @@
 
 from loguru import logger
 
-from mangotrail._attempt import Attempt, AttemptTools, end_gang
+from mangotrail._attempt import Attempt
+from mangotrail._attempt_tools import AttemptTools
+from mangotrail._gang import end_gang
 from mangotrail._messages import (
     AttemptReport,
     AttemptStatus,
@@ -18,7 +20,8 @@
     ThrottleOrder,
 )
 from mangotrail._reports import send_report
-from mangotrail.errors import PlatformError
+from mangotrail.endpoints import EndpointAttempt
+from mangotrail.errors import EndpointError, PlatformError
 from mangotrail.ids import JobId
 from mangotrail.platform import lease_name
 
@@ -38,6 +41,7 @@
         self.tools = tools
         self.attempts: dict[AttemptKey, Attempt] = {}
         self.reports: OrderedDict[AttemptKey, AttemptReport] = OrderedDict()
+        self.foreign_stops: set[AttemptKey] = set()
         self.idle = asyncio.Event()
         self.idle.set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -88,8 +92,9 @@
             attempt.request_stop(order)
         elif key in self.reports:
             self._spawn(send_report(self.tools.control, self.reports[key]))
-        else:
-            self._spawn(self._stop_foreign(order))
+        elif key not in self.foreign_stops:
+            self.foreign_stops.add(key)
+            self._spawn(self._stop_foreign(key, order))
 
     async def _run(
         self,
@@ -107,13 +112,25 @@
             while len(self.reports) > MAX_REMEMBERED_REPORTS:
                 self.reports.popitem(last=False)
 
-    async def _stop_foreign(self, order: StopOrder) -> None:
-        lease = lease_name(order.job, order.attempt)
+    async def _stop_foreign(self, key: AttemptKey, order: StopOrder) -> None:
+        """Stop an attempt whose dispatcher is lost."""
+        placement = order.placement
+        target = EndpointAttempt(
+            url=placement.endpoint_url,
+            job=order.job,
+            attempt=order.attempt,
+            max_answer_bytes=0,
+        )
+        try:
+            await self.tools.endpoints.cancel(target)
+        except EndpointError as error:
+            logger.warning('endpoint not told of the end: {}', error)
         await end_gang(
             self.tools.platform,
-            order.placement.platform_url,
-            lease,
+            placement.platform_url,
+            lease_name(order.job, order.attempt),
             reason=order.reason,
+            pauses=self.tools.pauses,
         )
         report = AttemptReport(
             job=order.job,
@@ -121,7 +138,8 @@
             status=AttemptStatus.STOPPED,
             reason=order.reason,
         )
-        await send_report(self.tools.control, report)
+        await send_report(self.tools.control, report, pauses=self.tools.pauses)
+        self.foreign_stops.discard(key)
 
     async def _throttle(self, order: ThrottleOrder) -> None:
         lease = lease_name(order.job, order.attempt)
--- a/mangotrail/endpoints.py
+++ b/mangotrail/endpoints.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from mangotrail._http_client import (
+    BodyTooLargeFailure,
     HttpClient,
     HttpFailure,
     HttpRequest,
@@ -66,6 +67,10 @@
         self.sent = sent
 
 
+class AnswerTooLargeError(EndpointError):
+    """An answer is over the limit of the bundle in force."""
+
+
 class WrongAnswerError(EndpointError):
     """An answer is not whole, or belongs to another job or attempt."""
 
@@ -103,6 +108,7 @@
 
         :raises EndpointCallError: if there was no usable reply.
         :raises WrongAnswerError: if the answer must not be used.
+        :raises AnswerTooLargeError: if the answer is over its limit.
         """
         return await self._call(
             attempt,
@@ -119,6 +125,7 @@
 
         :raises EndpointCallError: if there was no usable reply.
         :raises WrongAnswerError: if the answer must not be used.
+        :raises AnswerTooLargeError: if the answer is over its limit.
         """
         return await self._call(
             attempt,
@@ -168,6 +175,10 @@
     async def _send(self, request: HttpRequest) -> HttpResponse:
         try:
             return await self.http.send(request)
+        except BodyTooLargeFailure as failure:
+            raise AnswerTooLargeError(
+                f'the answer is over {request.max_bytes} bytes'
+            ) from failure
         except HttpFailure as failure:
             raise EndpointCallError(
                 str(failure), sent=failure.sent
--- a/mangotrail/gateway.py
+++ b/mangotrail/gateway.py
@@ -10,7 +10,7 @@
 from blacksheep.exceptions import HTTPException
 from loguru import logger
 
-from mangotrail._attempt import AttemptTools
+from mangotrail._attempt_tools import AttemptTools
 from mangotrail._gateway_parts import GatewayParts, GatewayStatus
 from mangotrail._http_callers import CallerPaths, is_first_submission
 from mangotrail._http_client import HttpClient
@@ -45,6 +45,7 @@
 from mangotrail.renewal import Renewals
 
 HELLO_S = 1.0
+UNLINKED_PAUSE_S = 0.1
 ENDPOINT_LOST_S = 60.0
 # Time for another gateway to adopt the attempts of one that shuts down.
 HANDOVER_LEASES = 2
@@ -79,10 +80,12 @@
         self.clock = clock or SystemClock()
         self.own = _own_peer(settings)
         self.stopping = asyncio.Event()
-        self.status = GatewayStatus(clock=self.clock)
         self.link = ControlLink(
             address=settings.gateway_link, on_order=self.handle
         )
+        self.status = GatewayStatus(
+            clock=self.clock, is_connected=self.link.is_connected
+        )
         self.counts = ByteCounts()
         self.http = HttpClient(counts=self.counts)
         self.parts = self._make_parts(credentials)
@@ -130,6 +133,9 @@
                 await self._drain()
             self.server.should_exit = True
             await serving
+            for task in background:
+                if task.done():
+                    task.result()
         finally:
             stopping.cancel()
             self.observers.close()
@@ -199,6 +205,7 @@
             endpoint_lost_s=ENDPOINT_LOST_S,
             max_answer_bytes=self.status.max_answer_bytes,
             pacer_for=self.parts.pacer_for,
+            started_at_s=self.clock.age_s(),
         )
 
     def _make_app(self) -> Application:
@@ -263,7 +270,8 @@
         while True:
             with suppress(MangotrailError):
                 await work()
-            await asyncio.sleep(HELLO_S)
+            linked = self.status.is_linked()
+            await asyncio.sleep(HELLO_S if linked else UNLINKED_PAUSE_S)
 
     async def _say_hello(self) -> None:
         in_force = self.status.in_force
--- a/mangotrail/link.py
+++ b/mangotrail/link.py
@@ -61,6 +61,10 @@
         self._context = zmq.asyncio.Context()
         self._socket = self._context.socket(zmq.DEALER)
 
+    def is_connected(self) -> bool:
+        """Return whether the control process accepts calls."""
+        return self.connected
+
     async def run(self) -> None:
         """Connect and receive until cancelled."""
         link = self._socket
--- a/mangotrail/renewal.py
+++ b/mangotrail/renewal.py
@@ -56,13 +56,26 @@
         self.renew_s = renew_s
         self.held: dict[str, dict[str, HeldLease]] = {}
         self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.urgent: set[asyncio.Task[bool]] = set()
 
-    def hold(self, url: str, lease: str) -> HeldLease:
+    def hold(
+        self,
+        url: str,
+        lease: str,
+        *,
+        renewed_at_s: float,
+        at_once: bool = False,
+    ) -> HeldLease:
         """Renew a lease from now on.
 
         :param url: base URL of the platform of the zone.
+        :param renewed_at_s: age of the clock before the lease was granted.
+        :param at_once: whether to renew it before the next period, because
+            its earlier holder may have renewed it long ago.
         """
-        held = HeldLease(lease=lease, renewed_at_s=self.clock.age_s())
+        held = HeldLease(lease=lease, renewed_at_s=renewed_at_s)
+        if at_once:
+            self._renew_soon(url, held)
         self.held.setdefault(url, {})[lease] = held
         if url not in self.tasks:
             self.tasks[url] = asyncio.create_task(self._renew_zone(url))
@@ -75,21 +88,25 @@
         if not leases and url in self.tasks:
             self.tasks.pop(url).cancel()
 
+    def _renew_soon(self, url: str, held: HeldLease) -> None:
+        task = asyncio.create_task(self._renew(url, (held,)))
+        self.urgent.add(task)
+        task.add_done_callback(self.urgent.discard)
+
     def close(self) -> None:
         """Renew nothing any longer."""
-        for task in self.tasks.values():
+        for task in (*self.tasks.values(), *self.urgent):
             task.cancel()
         self.tasks.clear()
 
     async def _renew_zone(self, url: str) -> None:
         while True:
-            renewed = await self._renew_once(url)
+            renewed = await self._renew(url, tuple(self.held[url].values()))
             period_s = self.renew_s if renewed else min(RETRY_S, self.renew_s)
             await asyncio.sleep(period_s)
 
-    async def _renew_once(self, url: str) -> bool:
+    async def _renew(self, url: str, leases: tuple[HeldLease, ...]) -> bool:
         asked_at_s = self.clock.age_s()
-        leases = tuple(self.held[url].values())
         try:
             reply = await self.platform.renew(
                 url, [held.lease for held in leases], ttl_s=self.lease_s
