Add a replay driver, baselines and generated traces

Change: trace format, replay driver with hard-rule checks and tallies, first come first served and strict quota baselines, seeded trace generator and the measuring command.

--- /dev/null
+++ b/benchmarks/baselines.py
@@ -0,0 +1,481 @@
+"""Two plain policies that the core is measured against."""
+
+from bisect import insort
+from collections import Counter
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from mangotrail._bundle import Bundle
+from mangotrail._messages import (
+    GangLevel,
+    JobShape,
+    JobSpec,
+    MemberPlacement,
+    Outcome,
+    Placement,
+    WorkerStatus,
+    ZoneState,
+)
+from mangotrail.events import (
+    BundleApplied,
+    Checkpoint,
+    Decision,
+    EndpointsChanged,
+    EndpointStatus,
+    Event,
+    Finish,
+    GangFailed,
+    GangStarted,
+    JobCancelled,
+    JobFinished,
+    JobSubmitted,
+    Place,
+    Refuse,
+    Stop,
+    Tick,
+    WorkersReported,
+    ZoneChanged,
+)
+from mangotrail.ids import AccountId, JobId, WorkerId, ZoneId
+from mangotrail.policy import Policy
+
+# A gang of an evacuated zone is stopped this long before the deadline.
+STOP_MARGIN_S = 5.0
+
+
+@dataclass(slots=True, eq=False)
+class Machine:
+    """Free resources of a worker."""
+
+    worker: WorkerId
+    zone: ZoneId
+    rack: str
+    accelerators: int
+    free: list[int]
+    free_slots: int
+    free_connections: int
+    healthy: bool = True
+
+    def room(self, shape: JobShape) -> int:
+        """How many members of a gang fit now."""
+        if not self.healthy:
+            return 0
+        tasks = min(self.free_slots, self.free_connections)
+        if shape.accelerators:
+            tasks = min(tasks, len(self.free) // shape.accelerators)
+        return tasks
+
+
+@dataclass(slots=True, eq=False)
+class Entry:
+    """A job that waits or runs."""
+
+    number: int
+    job: JobId
+    job_spec: JobSpec
+    attempt: int = 0
+    failures: int = 0
+    placement: Placement | None = None
+    began: bool = False
+    ever_began: bool = False
+    cancelled: bool = False
+    stopping: bool = False
+    stop_s: float | None = None
+    avoided: set[WorkerId] = field(default_factory=set)
+
+    @property
+    def need(self) -> int:
+        """Accelerators of the whole gang."""
+        return self.job_spec.shape.members * self.job_spec.shape.accelerators
+
+
+class FirstComePolicy(Policy):
+    """First come first served with first fit.
+
+    Every pass goes over the waiting jobs in order of arrival and starts each
+    one that fits on the first workers with room. A job that failed on a worker
+    is not placed there again. There are no reservations, no priorities and no
+    preemption; jobs of an evacuated zone are checkpointed and stopped.
+    """
+
+    passes_blocked = True
+
+    def __init__(self) -> None:
+        self.bundle: Bundle | None = None
+        self.machines: dict[WorkerId, Machine] = {}
+        self.zones: dict[ZoneId, ZoneState] = {}
+        self.platforms: dict[ZoneId, str] = {}
+        self.endpoints: tuple[EndpointStatus, ...] = ()
+        self.entries: dict[JobId, Entry] = {}
+        self.queue: list[tuple[int, JobId]] = []
+        self.held: Counter[AccountId] = Counter()
+        self.running: Counter[AccountId] = Counter()
+        self.arrivals = 0
+
+    def handle(self, event: Event, now_s: float) -> tuple[Decision, ...]:
+        """Take in one event and return what follows from it."""
+        decisions = list(self.take_in(event, now_s))
+        decisions.extend(self.stop_due(now_s))
+        if not isinstance(event, (Tick, GangStarted)):
+            decisions.extend(self.place_waiting())
+        return tuple(decisions)
+
+    def take_in(self, event: Event, now_s: float) -> Iterable[Decision]:
+        """Update the state from one event."""
+        match event:
+            case BundleApplied():
+                self.apply_bundle(event.bundle)
+            case WorkersReported():
+                self.report_workers(event.workers)
+            case EndpointsChanged():
+                self.endpoints = tuple(event.endpoints)
+            case ZoneChanged():
+                return self.change_zone(event, now_s)
+            case JobSubmitted():
+                return self.submit(event)
+            case JobCancelled():
+                return self.cancel(event.job)
+            case GangStarted():
+                self.start(event)
+            case GangFailed():
+                return self.fail(event)
+            case JobFinished():
+                self.finish(event)
+            case _:
+                return ()
+        return ()
+
+    def apply_bundle(self, bundle: Bundle) -> None:
+        """Take the inventory from a bundle; it is applied once."""
+        self.bundle = bundle
+        for zone in bundle.zones:
+            self.zones[zone.zone] = ZoneState.IN
+            self.platforms[zone.zone] = zone.platform_url
+            for rack in zone.racks:
+                for worker in rack.workers:
+                    self.machines[worker] = Machine(
+                        worker=worker,
+                        zone=zone.zone,
+                        rack=rack.rack,
+                        accelerators=rack.accelerators,
+                        free=list(range(rack.accelerators)),
+                        free_slots=zone.slots,
+                        free_connections=zone.connections,
+                    )
+
+    def report_workers(self, workers: Iterable[WorkerStatus]) -> None:
+        """Note which workers are healthy."""
+        for status in workers:
+            self.machines[status.worker].healthy = status.healthy
+
+    def change_zone(
+        self, event: ZoneChanged, now_s: float
+    ) -> Iterator[Decision]:
+        """Checkpoint what runs in a zone that leaves, stop it in time."""
+        self.zones[event.zone] = event.state
+        if event.state == ZoneState.IN:
+            return
+        for entry in self.entries.values():
+            placement = entry.placement
+            if placement is None or placement.zone != event.zone:
+                continue
+            leave_s = max(0.0, event.deadline_s - STOP_MARGIN_S)
+            if entry.job_spec.idempotent:
+                leave_s = min(leave_s, self.limits_reclaim_s())
+                yield Checkpoint(
+                    job=entry.job, attempt=entry.attempt, deadline_s=leave_s
+                )
+            entry.stop_s = now_s + leave_s
+
+    def limits_reclaim_s(self) -> float:
+        """Seconds between a checkpoint and the stop."""
+        return self.bundle.limits.reclaim_s if self.bundle else 0
+
+    def stop_due(self, now_s: float) -> Iterator[Decision]:
+        """Stop gangs whose time has come."""
+        for entry in self.entries.values():
+            due = entry.stop_s is not None and entry.stop_s <= now_s
+            if due and not entry.stopping:
+                entry.stopping = True
+                yield Stop(
+                    job=entry.job, attempt=entry.attempt, reason='zone out'
+                )
+
+    def submit(self, event: JobSubmitted) -> Iterator[Decision]:
+        """Queue a job or refuse it."""
+        if not self.fits_inventory(event.job_spec.shape):
+            yield Refuse(job=event.job, reason='no inventory holds it')
+            return
+        self.arrivals += 1
+        self.entries[event.job] = Entry(
+            number=self.arrivals, job=event.job, job_spec=event.job_spec
+        )
+        self.queue.append((self.arrivals, event.job))
+
+    def fits_inventory(self, shape: JobShape) -> bool:
+        """Whether an empty part of the topology holds a gang."""
+        room: Counter[tuple[str, ...]] = Counter()
+        for machine in self.machines.values():
+            tasks = self.slots_of(machine.zone)
+            if shape.accelerators:
+                tasks = min(tasks, machine.accelerators // shape.accelerators)
+            room[self.domain(machine, shape.level)] += tasks
+        return max(room.values(), default=0) >= shape.members
+
+    def slots_of(self, zone: ZoneId) -> int:
+        """Slots of each worker of a zone."""
+        zones = self.bundle.zones if self.bundle else ()
+        return next((spec.slots for spec in zones if spec.zone == zone), 0)
+
+    def domain(self, machine: Machine, level: GangLevel) -> tuple[str, ...]:
+        """The part of the topology around a worker at a level."""
+        if level == GangLevel.WORKER:
+            return (machine.zone, machine.rack, machine.worker)
+        if level == GangLevel.RACK:
+            return (machine.zone, machine.rack)
+        return (machine.zone,)
+
+    def cancel(self, job: JobId) -> Iterator[Decision]:
+        """Drop a waiting job or stop a running one."""
+        entry = self.entries.get(job)
+        if entry is None:
+            return
+        entry.cancelled = True
+        if entry.placement is None:
+            self.queue.remove((entry.number, job))
+            self.entries.pop(job)
+            yield Finish(
+                job=job,
+                outcome=Outcome.CANCELLED,
+                ran=entry.ever_began,
+                reason='cancelled',
+            )
+        elif not entry.stopping:
+            entry.stopping = True
+            yield Stop(job=job, attempt=entry.attempt, reason='cancelled')
+
+    def start(self, event: GangStarted) -> None:
+        """Note that a gang began."""
+        entry = self.entries.get(event.job)
+        if entry is not None and entry.attempt == event.attempt:
+            entry.began = True
+            entry.ever_began = True
+
+    def fail(self, event: GangFailed) -> Iterator[Decision]:
+        """Queue a job again or end it."""
+        entry = self.entries.get(event.job)
+        if entry is None or entry.attempt != event.attempt:
+            return
+        stopped = entry.stopping
+        self.release(entry)
+        if event.worker is not None:
+            entry.avoided.add(event.worker)
+        entry.failures += not stopped and not event.nothing_ran
+        unknown = not (entry.job_spec.idempotent or event.nothing_ran)
+        attempts = self.bundle.limits.max_attempts if self.bundle else 1
+        if entry.cancelled:
+            outcome = Outcome.CANCELLED
+        elif unknown:
+            outcome = Outcome.OUTCOME_UNKNOWN
+        elif entry.failures >= attempts:
+            outcome = Outcome.FAILED
+        else:
+            insort(self.queue, (entry.number, entry.job))
+            return
+        self.entries.pop(entry.job)
+        yield Finish(
+            job=entry.job,
+            outcome=outcome,
+            ran=entry.ever_began,
+            reason=event.reason,
+        )
+
+    def finish(self, event: JobFinished) -> None:
+        """Forget a job that ended."""
+        entry = self.entries.get(event.job)
+        if entry is not None and entry.attempt == event.attempt:
+            self.release(entry)
+            self.entries.pop(event.job)
+
+    def release(self, entry: Entry) -> None:
+        """Give the resources of an attempt back."""
+        if entry.placement is None:
+            return
+        for member in entry.placement.members:
+            machine = self.machines[member.worker]
+            machine.free.extend(member.accelerators)
+            machine.free.sort()
+            machine.free_slots += 1
+            machine.free_connections += 1
+        account = entry.job_spec.account
+        self.held[account] -= entry.need
+        self.running[account] -= 1
+        entry.placement = None
+        entry.began = False
+        entry.stopping = False
+        entry.stop_s = None
+
+    def admits(self, entry: Entry) -> bool:
+        """Whether the limits of its account let a job start."""
+        return self.running[entry.job_spec.account] < self.max_running(entry)
+
+    def max_running(self, entry: Entry) -> int:
+        """Jobs that the account of a job may run at once."""
+        accounts = self.bundle.accounts if self.bundle else ()
+        return next(
+            (
+                spec.max_running
+                for spec in accounts
+                if spec.account == entry.job_spec.account
+            ),
+            0,
+        )
+
+    def place_waiting(self) -> Iterator[Decision]:
+        """Start the waiting jobs that fit, in order of arrival."""
+        hopeless: set[tuple[object, ...]] = set()
+        placed: set[tuple[int, JobId]] = set()
+        for item in self.queue:
+            entry = self.entries[item[1]]
+            shape = entry.job_spec.shape
+            key = (
+                entry.job_spec.service,
+                shape.members,
+                shape.accelerators,
+                shape.level,
+                *sorted(entry.avoided),
+            )
+            if key in hopeless or not self.admits(entry):
+                continue
+            placement = self.first_fit(entry)
+            if placement is None:
+                if not self.passes_blocked:
+                    break
+                hopeless.add(key)
+                continue
+            self.take(entry, placement)
+            placed.add(item)
+            yield Place(
+                job=entry.job, attempt=entry.attempt, placement=placement
+            )
+        if placed:
+            self.queue = [item for item in self.queue if item not in placed]
+
+    def first_fit(self, entry: Entry) -> Placement | None:
+        """The first workers with room for the whole gang."""
+        shape = entry.job_spec.shape
+        domains: dict[tuple[str, ...], list[Machine]] = {}
+        for machine in self.machines.values():
+            if self.zones[machine.zone] != ZoneState.IN:
+                continue
+            if machine.worker in entry.avoided or not machine.room(shape):
+                continue
+            key = self.domain(machine, shape.level)
+            domains.setdefault(key, []).append(machine)
+        for machines in domains.values():
+            if sum(machine.room(shape) for machine in machines) < shape.members:
+                continue
+            endpoint = self.endpoint_for(entry.job_spec, machines[0].zone)
+            if endpoint is None:
+                continue
+            zone = machines[0].zone
+            return Placement(
+                zone=zone,
+                members=self.members_on(machines, shape),
+                endpoint=endpoint.endpoint,
+                endpoint_url=endpoint.url,
+                platform_url=self.platforms[zone],
+            )
+        return None
+
+    def members_on(
+        self, machines: Iterable[Machine], shape: JobShape
+    ) -> list[MemberPlacement]:
+        """Fill workers in order until the gang is whole."""
+        members: list[MemberPlacement] = []
+        for machine in machines:
+            for task in range(machine.room(shape)):
+                if len(members) == shape.members:
+                    return members
+                first = task * shape.accelerators
+                members.append(
+                    MemberPlacement(
+                        worker=machine.worker,
+                        accelerators=machine.free[
+                            first : first + shape.accelerators
+                        ],
+                    )
+                )
+        return members
+
+    def endpoint_for(
+        self, job_spec: JobSpec, zone: ZoneId
+    ) -> EndpointStatus | None:
+        """An endpoint of the service, in the zone if there is one."""
+        fitting = [
+            endpoint
+            for endpoint in self.endpoints
+            if endpoint.service == job_spec.service
+        ]
+        local = (endpoint for endpoint in fitting if endpoint.zone == zone)
+        return next(local, fitting[0] if fitting else None)
+
+    def take(self, entry: Entry, placement: Placement) -> None:
+        """Hold the resources of a new attempt."""
+        entry.attempt += 1
+        entry.placement = placement
+        for member in placement.members:
+            machine = self.machines[member.worker]
+            for index in member.accelerators:
+                machine.free.remove(index)
+            machine.free_slots -= 1
+            machine.free_connections -= 1
+        self.held[entry.job_spec.account] += entry.need
+        self.running[entry.job_spec.account] += 1
+
+
+class InOrderPolicy(FirstComePolicy):
+    """First come first served in the strict sense: no job overtakes.
+
+    It is shown for comparison; the targets are set against the policies that
+    let later jobs pass, which is the harder comparison.
+    """
+
+    passes_blocked = False
+
+
+class StrictQuotaPolicy(FirstComePolicy):
+    """Strict quotas without borrowing.
+
+    The quota of an account is what it is guaranteed, plus its share by weight
+    of the accelerators that nobody is guaranteed. A job larger than the quota
+    runs only while its account holds nothing else.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.quotas: dict[AccountId, int] = {}
+
+    def apply_bundle(self, bundle: Bundle) -> None:
+        """Take inventory and quotas from a bundle."""
+        super().apply_bundle(bundle)
+        guaranteed = {
+            account.account: sum(
+                shape.accelerators * shape.count for shape in account.guarantees
+            )
+            for account in bundle.accounts
+        }
+        total = sum(machine.accelerators for machine in self.machines.values())
+        rest = max(0, total - sum(guaranteed.values()))
+        weights = sum(account.weight for account in bundle.accounts)
+        for account in bundle.accounts:
+            share = rest * account.weight // weights
+            self.quotas[account.account] = guaranteed[account.account] + share
+
+    def admits(self, entry: Entry) -> bool:
+        """Whether the quota of its account leaves room for a job."""
+        if not super().admits(entry):
+            return False
+        held = self.held[entry.job_spec.account]
+        quota = self.quotas[entry.job_spec.account]
+        return held + entry.need <= quota or not (held and entry.need)
--- /dev/null
+++ b/benchmarks/replay.py
@@ -0,0 +1,1049 @@
+"""Feeds a trace to a policy, executes its decisions and keeps tallies.
+
+The driver applies decisions in virtual time and counts; it models no
+instances and no network. Its tallies are described in docs/measurements.md.
+"""
+
+import gc
+import heapq
+import math
+import sys
+from collections import Counter, defaultdict
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+from time import perf_counter_ns
+from types import BuiltinFunctionType, FunctionType, MethodType, ModuleType
+
+from benchmarks.trace import (
+    CancelLine,
+    Header,
+    JobFailure,
+    SubmitLine,
+    Trace,
+    TraceLine,
+    WorkerCondition,
+    WorkerLine,
+    ZoneLine,
+)
+from mangotrail._messages import (
+    GangLevel,
+    JobSpec,
+    Outcome,
+    Placement,
+    TaskUsage,
+    WorkerStatus,
+    ZoneState,
+)
+from mangotrail.events import (
+    BundleApplied,
+    Checkpoint,
+    Decision,
+    EndpointsChanged,
+    EndpointStatus,
+    Event,
+    Finish,
+    GangFailed,
+    GangStarted,
+    JobCancelled,
+    JobFinished,
+    JobSubmitted,
+    Place,
+    Quarantine,
+    Refuse,
+    Stop,
+    Throttle,
+    Tick,
+    UsageReported,
+    WorkersReported,
+    ZoneChanged,
+)
+from mangotrail.ids import (
+    AccountId,
+    EndpointId,
+    JobId,
+    RequestId,
+    WorkerId,
+    ZoneId,
+)
+from mangotrail.policy import Policy
+
+# Ticks are frequent while a stop, a retry or a move can be due, and rare
+# otherwise, so that a week replays in seconds.
+FAST_TICK_S = 1.0
+SLOW_TICK_S = 30.0
+FAST_PERIOD_S = 40.0
+STATE_SAMPLES = 12
+KEPT_MESSAGES = 5
+
+
+class Rule(StrEnum):
+    """Hard rules that every decision must keep."""
+
+    UNKNOWN_JOB = 'unknown_job'
+    ACCELERATOR_TWICE = 'accelerator_twice'
+    SLOT_TWICE = 'slot_twice'
+    CONNECTION_TWICE = 'connection_twice'
+    ZONE_OUT = 'zone_out'
+    WORKER_LOST = 'worker_lost'
+    GANG_NOT_WHOLE = 'gang_not_whole'
+    SECOND_RUN = 'second_run'
+    ENDPOINT = 'endpoint'
+    NOT_RUN_FALSE = 'not_run_false'
+    PREEMPTED = 'preempted'
+
+
+class RunState(StrEnum):
+    """Progress of a job in the replay."""
+
+    WAITING = 'waiting'
+    HELD = 'held'
+    DONE = 'done'
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """Resources of a worker and who holds them."""
+
+    worker: WorkerId
+    zone: ZoneId
+    rack: str
+    accelerators: int
+    slots: int
+    connections: int
+    condition: WorkerCondition = WorkerCondition.HEALTHY
+    reported_lost: bool = False
+    held: set[int] = field(default_factory=set)
+    used_slots: int = 0
+    used_connections: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """An attempt that holds resources."""
+
+    run: 'Run'
+    number: int
+    placement: Placement
+    started_s: float | None = None
+    settled_s: float = 0
+    rate: float = 1
+    finish_token: int = 0
+    stopping: bool = False
+    ended: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """A job of the trace and its progress."""
+
+    line: SubmitLine
+    job_spec: JobSpec
+    need: int
+    possible: bool
+    checkpoint_s: float
+    state: RunState = RunState.WAITING
+    attempt: Attempt | None = None
+    last_attempt: int = 0
+    began: bool = False
+    cancelled: bool = False
+    progress_s: float = 0
+    saved_s: float = 0
+    started_s: float | None = None
+    ended_s: float | None = None
+    outcome: Outcome | None = None
+    entitled_s: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Account:
+    """What an account is guaranteed, holds and waits for."""
+
+    guaranteed: int
+    cells: Sequence[tuple[GangLevel, int]]
+    held: int = 0
+    waiting: dict[JobId, Run] = field(default_factory=dict)
+    entitled: dict[JobId, Run] = field(default_factory=dict)
+
+
+@dataclass(slots=True, eq=False)
+class Tallies:
+    """What a replay counts; accelerator-seconds unless said otherwise."""
+
+    violations: Counter[Rule] = field(default_factory=Counter)
+    messages: list[str] = field(default_factory=list)
+    call_ns: list[int] = field(default_factory=list)
+    tick_ns: list[int] = field(default_factory=list)
+    capacity: float = 0
+    fragmented: float = 0
+    fragmented_zone: float = 0
+    move_possible: float = 0
+    move_work: float = 0
+    lost_work: float = 0
+    useful_work: float = 0
+    reclaim_waits: list[tuple[float, float, JobId]] = field(
+        default_factory=list
+    )
+    move_reclaim_waits: list[tuple[float, float, JobId]] = field(
+        default_factory=list
+    )
+    checkpoints: int = 0
+    stops: int = 0
+    killed_by_zone: int = 0
+    worker_faults: int = 0
+    quarantines: int = 0
+    throttles: int = 0
+    wrong_refusals: int = 0
+    peak_state_bytes: int = 0
+
+
+LEVEL_ORDER = {GangLevel.WORKER: 0, GangLevel.RACK: 1, GangLevel.ZONE: 2}
+
+
+def deep_size(root: object) -> int:
+    """Bytes of all objects that can be reached from an object.
+
+    Code and types are left out: they are not state.
+    """
+    skipped = (
+        type,
+        ModuleType,
+        FunctionType,
+        MethodType,
+        BuiltinFunctionType,
+    )
+    seen: set[int] = set()
+    pending: list[object] = [root]
+    total = 0
+    while pending:
+        item = pending.pop()
+        if id(item) in seen or isinstance(item, skipped):
+            continue
+        seen.add(id(item))
+        total += sys.getsizeof(item)
+        pending.extend(gc.get_referents(item))
+    return total
+
+
+class Replay:
+    """One replay of one trace under one policy."""
+
+    def __init__(self, *, trace: Trace, policy: Policy) -> None:
+        self.trace = trace
+        self.header: Header = trace.header
+        self.policy = policy
+        self.tallies = Tallies()
+        self.now_s = 0.0
+        self.heap: list[tuple[float, int, Callable[[], None]]] = []
+        self.order = 0
+        self.workers: dict[WorkerId, Worker] = {}
+        self.zones: dict[ZoneId, ZoneState] = {}
+        self.zone_version: Counter[ZoneId] = Counter()
+        self.endpoints: dict[EndpointId, EndpointStatus] = {}
+        self.runs: dict[JobId, Run] = {}
+        self.accounts: dict[AccountId, Account] = {}
+        self.attempts: dict[JobId, Attempt] = {}
+        self.waiting_needs: Counter[int] = Counter()
+        self.demand = 0
+        self.free: Counter[ZoneId] = Counter()
+        self.capacity = 0
+        self.tick_version = 0
+        self.next_tick_s = 0.0
+        self.fast_until_s = 0.0
+        self.last_submit_s = 0.0
+        self.build_inventory()
+
+    def build_inventory(self) -> None:
+        """Make workers, endpoints and accounts out of the bundle."""
+        bundle = self.header.bundle
+        for zone in bundle.zones:
+            self.zones[zone.zone] = ZoneState.IN
+            for rack in zone.racks:
+                for worker in rack.workers:
+                    self.workers[worker] = Worker(
+                        worker=worker,
+                        zone=zone.zone,
+                        rack=f'{zone.zone}/{rack.rack}',
+                        accelerators=rack.accelerators,
+                        slots=zone.slots,
+                        connections=zone.connections,
+                    )
+            for service in bundle.services:
+                name = EndpointId(f'{service.service}.{zone.zone}')
+                self.endpoints[name] = EndpointStatus(
+                    endpoint=name,
+                    service=service.service,
+                    zone=zone.zone,
+                    url=f'http://{name}',
+                )
+        for account in bundle.accounts:
+            shapes = account.guarantees
+            self.accounts[account.account] = Account(
+                guaranteed=sum(s.accelerators * s.count for s in shapes),
+                cells=[(GangLevel(s.level), s.accelerators) for s in shapes],
+            )
+        self.recount()
+
+    # Time and events.
+
+    def run(self) -> Tallies:
+        """Replay the whole trace."""
+        header = self.header
+        for line in self.trace.lines:
+            self.at(line.at_s, self.line_action(line))
+            if isinstance(line, SubmitLine):
+                self.last_submit_s = max(self.last_submit_s, line.at_s)
+        for sample in range(1, STATE_SAMPLES + 1):
+            self.at(header.end_s * sample / STATE_SAMPLES, self.sample_state)
+        self.deliver(BundleApplied(bundle=header.bundle))
+        self.deliver(
+            WorkersReported(
+                workers=[
+                    WorkerStatus(worker=worker, healthy=True)
+                    for worker in self.workers
+                ]
+            )
+        )
+        self.deliver(EndpointsChanged(endpoints=list(self.endpoints.values())))
+        self.schedule_tick(FAST_TICK_S)
+        self.at(header.usage_every_s, self.report_usage)
+        while self.heap and self.heap[0][0] <= header.end_s:
+            when, _, action = heapq.heappop(self.heap)
+            self.advance(when)
+            action()
+        self.advance(header.end_s)
+        self.close()
+        return self.tallies
+
+    def at(self, when: float, action: Callable[[], None]) -> None:
+        """Run an action at a virtual time."""
+        self.order += 1
+        heapq.heappush(self.heap, (when, self.order, action))
+
+    def after(self, delay_s: float, action: Callable[[], None]) -> None:
+        """Run an action after a delay."""
+        self.at(self.now_s + delay_s, action)
+
+    def advance(self, when: float) -> None:
+        """Integrate the tallies up to a time."""
+        elapsed = when - self.now_s
+        if elapsed <= 0:
+            return
+        if self.now_s <= self.last_submit_s or self.waiting_needs:
+            tallies = self.tallies
+            tallies.capacity += elapsed * self.capacity
+            if self.waiting_needs:
+                smallest = min(self.waiting_needs)
+                free = sum(self.free.values())
+                if smallest <= free:
+                    tallies.fragmented += elapsed * free
+                if smallest <= max(self.free.values(), default=0):
+                    tallies.fragmented_zone += elapsed * free
+        if self.moving:
+            possible = min(self.capacity, self.demand)
+            self.tallies.move_possible += elapsed * possible
+        self.now_s = when
+
+    @property
+    def moving(self) -> bool:
+        """Whether a zone is being left or is out."""
+        return any(state != ZoneState.IN for state in self.zones.values())
+
+    def deliver(self, event: Event) -> None:
+        """Hand an event to the policy and apply what it decides."""
+        started = perf_counter_ns()
+        decisions = self.policy.handle(event, self.now_s)
+        spent = perf_counter_ns() - started
+        if isinstance(event, Tick):
+            self.tallies.tick_ns.append(spent)
+        else:
+            self.tallies.call_ns.append(spent)
+        for decision in decisions:
+            self.apply(decision)
+
+    def schedule_tick(self, delay_s: float) -> None:
+        """Plan the next tick in place of the one that is planned."""
+        self.tick_version += 1
+        version = self.tick_version
+        self.next_tick_s = self.now_s + delay_s
+
+        def tick() -> None:
+            if version != self.tick_version:
+                return
+            self.deliver(Tick())
+            fast = self.now_s < self.fast_until_s
+            if version == self.tick_version:
+                self.schedule_tick(FAST_TICK_S if fast else SLOW_TICK_S)
+
+        self.after(delay_s, tick)
+
+    def tick_fast(self) -> None:
+        """Tick frequently for some time."""
+        self.fast_until_s = self.now_s + FAST_PERIOD_S
+        if self.next_tick_s > self.now_s + FAST_TICK_S:
+            self.schedule_tick(FAST_TICK_S)
+
+    # Lines of the trace.
+
+    def line_action(self, line: TraceLine) -> Callable[[], None]:
+        """What a line of the trace does."""
+        match line:
+            case SubmitLine():
+                return lambda: self.submit(line)
+            case CancelLine():
+                return lambda: self.cancel(line.job)
+            case ZoneLine():
+                return lambda: self.change_zone(line)
+            case WorkerLine():
+                return lambda: self.change_worker(line)
+
+    def submit(self, line: SubmitLine) -> None:
+        """A caller submits a job."""
+        job_class = self.header.classes[line.job_class]
+        job_spec = JobSpec(
+            account=job_class.account,
+            request=RequestId(line.job),
+            service=job_class.service,
+            shape=job_class.shape,
+            created_at_s=line.at_s,
+            job_kind=line.job_class,
+            urgent=job_class.urgent,
+            idempotent=job_class.idempotent,
+            preemptible=job_class.preemptible,
+            declared_runtime_s=line.declared_s,
+        )
+        shape = job_class.shape
+        run = Run(
+            line=line,
+            job_spec=job_spec,
+            need=shape.members * shape.accelerators,
+            possible=self.fits_inventory(job_spec),
+            checkpoint_s=job_class.checkpoint_s,
+        )
+        self.runs[line.job] = run
+        self.enqueue(run)
+        self.deliver(JobSubmitted(job=line.job, job_spec=job_spec))
+
+    def cancel(self, job: JobId) -> None:
+        """A caller cancels a job."""
+        run = self.runs[job]
+        if run.state == RunState.DONE:
+            return
+        run.cancelled = True
+        if run.state == RunState.WAITING:
+            self.end_run(run, Outcome.CANCELLED)
+        self.deliver(JobCancelled(job=job))
+
+    def change_zone(self, line: ZoneLine) -> None:
+        """Operators change the state of a zone."""
+        self.settle_all()
+        self.zones[line.zone] = line.state
+        self.zone_version[line.zone] += 1
+        version = self.zone_version[line.zone]
+        self.recount()
+        for account in self.accounts.values():
+            for run in account.entitled.values():
+                run.entitled_s = self.now_s
+        if line.state != ZoneState.IN:
+            self.after(
+                line.deadline_s,
+                lambda: self.empty_zone(line.zone, version),
+            )
+        self.tick_fast()
+        self.deliver(
+            ZoneChanged(
+                zone=line.zone, state=line.state, deadline_s=line.deadline_s
+            )
+        )
+
+    def empty_zone(self, zone: ZoneId, version: int) -> None:
+        """What still runs in a zone at its deadline is lost."""
+        if version != self.zone_version[zone]:
+            return
+        for attempt in tuple(self.attempts.values()):
+            if attempt.placement.zone == zone:
+                self.tallies.killed_by_zone += attempt.started_s is not None
+                self.fail_attempt(attempt, 'zone out')
+
+    def change_worker(self, line: WorkerLine) -> None:
+        """A worker changes its condition."""
+        worker = self.workers[line.worker]
+        worker.condition = line.condition
+        self.recount()
+        if line.condition == WorkerCondition.LOST:
+            self.after(self.header.detect_s, lambda: self.lose_worker(worker))
+            return
+        if worker.reported_lost:
+            worker.reported_lost = False
+            self.report_worker(worker)
+        if line.condition == WorkerCondition.FAILS_ALL:
+            for attempt in self.attempts_on(worker):
+                if attempt.started_s is not None:
+                    self.plan_worker_fault(attempt, worker)
+
+    def lose_worker(self, worker: Worker) -> None:
+        """The platform notices that a worker is lost."""
+        if worker.condition != WorkerCondition.LOST:
+            return
+        worker.reported_lost = True
+        self.tick_fast()
+        self.report_worker(worker)
+        for attempt in self.attempts_on(worker):
+            self.tallies.worker_faults += 1
+            self.fail_attempt(attempt, 'worker lost', worker.worker)
+
+    def report_worker(self, worker: Worker) -> None:
+        """Tell the policy whether a worker is healthy."""
+        status = WorkerStatus(
+            worker=worker.worker, healthy=not worker.reported_lost
+        )
+        self.deliver(WorkersReported(workers=[status]))
+
+    def attempts_on(self, worker: Worker) -> list[Attempt]:
+        """Attempts with a member on a worker."""
+        return [
+            attempt
+            for attempt in self.attempts.values()
+            if any(
+                member.worker == worker.worker
+                for member in attempt.placement.members
+            )
+        ]
+
+    def report_usage(self) -> None:
+        """Report what running attempts used some time ago."""
+        header = self.header
+        measured = self.now_s - header.usage_lag_s
+        usage = [
+            TaskUsage(
+                job=job,
+                attempt=attempt.number,
+                measured_s=measured - attempt.started_s,
+                cores=attempt.run.job_spec.shape.members
+                * attempt.run.line.size,
+                accelerator_share=attempt.run.line.size * attempt.rate,
+            )
+            for job, attempt in self.attempts.items()
+            if attempt.started_s is not None and attempt.started_s < measured
+        ]
+        if usage:
+            self.deliver(UsageReported(usage=usage))
+        self.after(header.usage_every_s, self.report_usage)
+
+    # Decisions.
+
+    def apply(self, decision: Decision) -> None:
+        """Apply one decision."""
+        match decision:
+            case Place():
+                self.place(decision)
+            case Refuse():
+                self.refuse(decision)
+            case Checkpoint():
+                self.checkpoint(decision)
+            case Stop():
+                self.stop(decision)
+            case Throttle():
+                self.throttle(decision)
+            case Finish():
+                self.finish(decision)
+            case Quarantine():
+                self.tallies.quarantines += 1
+                self.tick_fast()
+            case _:
+                return
+
+    def violate(self, rule: Rule, message: str) -> None:
+        """Count a broken rule."""
+        self.tallies.violations[rule] += 1
+        if len(self.tallies.messages) < KEPT_MESSAGES:
+            self.tallies.messages.append(
+                f'{self.now_s:.1f} s: {rule}: {message}'
+            )
+
+    def place(self, decision: Place) -> None:
+        """Hold the resources of an attempt and plan its start."""
+        run = self.runs.get(decision.job)
+        broken = self.broken_rules(decision, run)
+        for rule in broken:
+            self.violate(rule, f'{decision.job} attempt {decision.attempt}')
+        if broken or run is None:
+            self.after(
+                self.header.start_delay_s,
+                lambda: self.deliver(
+                    GangFailed(
+                        job=decision.job,
+                        attempt=decision.attempt,
+                        nothing_ran=True,
+                        reason='placement breaks a rule',
+                    )
+                ),
+            )
+            return
+        self.dequeue(run)
+        run.state = RunState.HELD
+        run.last_attempt = decision.attempt
+        attempt = Attempt(
+            run=run, number=decision.attempt, placement=decision.placement
+        )
+        run.attempt = attempt
+        self.attempts[decision.job] = attempt
+        self.hold(attempt, 1)
+        self.after(self.header.start_delay_s, lambda: self.start(attempt))
+
+    def broken_rules(self, decision: Place, run: Run | None) -> set[Rule]:
+        """Hard rules that a placement breaks."""
+        if run is None or run.state != RunState.WAITING or run.cancelled:
+            return {Rule.UNKNOWN_JOB}
+        broken: set[Rule] = set()
+        placement = decision.placement
+        shape = run.job_spec.shape
+        if decision.attempt <= run.last_attempt:
+            broken.add(Rule.UNKNOWN_JOB)
+        if run.began and not run.job_spec.idempotent:
+            broken.add(Rule.SECOND_RUN)
+        if self.zones.get(placement.zone) != ZoneState.IN:
+            broken.add(Rule.ZONE_OUT)
+        endpoint = self.endpoints.get(placement.endpoint)
+        if endpoint is None or endpoint.service != run.job_spec.service:
+            broken.add(Rule.ENDPOINT)
+        if len(placement.members) != shape.members:
+            broken.add(Rule.GANG_NOT_WHOLE)
+        taken: defaultdict[WorkerId, set[int]] = defaultdict(set)
+        tasks: Counter[WorkerId] = Counter()
+        for member in placement.members:
+            worker = self.workers.get(member.worker)
+            if worker is None or worker.zone != placement.zone:
+                broken.add(Rule.ZONE_OUT)
+                continue
+            if worker.reported_lost:
+                broken.add(Rule.WORKER_LOST)
+            if len(member.accelerators) != shape.accelerators:
+                broken.add(Rule.GANG_NOT_WHOLE)
+            for index in member.accelerators:
+                used = index in worker.held or index in taken[member.worker]
+                if used or index >= worker.accelerators:
+                    broken.add(Rule.ACCELERATOR_TWICE)
+                taken[member.worker].add(index)
+            tasks[member.worker] += 1
+            if worker.used_slots + tasks[member.worker] > worker.slots:
+                broken.add(Rule.SLOT_TWICE)
+            connections = worker.used_connections + tasks[member.worker]
+            if connections > worker.connections:
+                broken.add(Rule.CONNECTION_TWICE)
+        if (
+            self.spread(taken | dict.fromkeys(tasks, set()))
+            > LEVEL_ORDER[shape.level]
+        ):
+            broken.add(Rule.GANG_NOT_WHOLE)
+        return broken
+
+    def spread(self, names: Iterable[WorkerId]) -> int:
+        """Order of the smallest level that holds the workers."""
+        workers = [self.workers[name] for name in names if name in self.workers]
+        if len(workers) <= 1:
+            return LEVEL_ORDER[GangLevel.WORKER]
+        if len({worker.rack for worker in workers}) == 1:
+            return LEVEL_ORDER[GangLevel.RACK]
+        return LEVEL_ORDER[GangLevel.ZONE]
+
+    def refuse(self, decision: Refuse) -> None:
+        """The policy ends a job as not run."""
+        run = self.runs.get(decision.job)
+        if run is None or run.state == RunState.DONE:
+            return
+        if run.began or run.state == RunState.HELD:
+            self.violate(Rule.NOT_RUN_FALSE, f'{decision.job} refused')
+        if run.possible:
+            self.tallies.wrong_refusals += 1
+        if run.state == RunState.WAITING:
+            self.end_run(run, Outcome.NOT_RUN)
+
+    def checkpoint(self, decision: Checkpoint) -> None:
+        """Save the progress of an attempt some seconds later."""
+        attempt = self.current(decision.job, decision.attempt)
+        if attempt is None:
+            return
+        self.tallies.checkpoints += 1
+        self.tick_fast()
+        run = attempt.run
+        if attempt.started_s is None or not run.job_spec.preemptible:
+            return
+        if run.checkpoint_s > decision.deadline_s:
+            return
+        self.settle(attempt)
+        progress = run.progress_s
+
+        def save() -> None:
+            if not attempt.ended:
+                run.saved_s = max(run.saved_s, progress)
+
+        self.after(run.checkpoint_s, save)
+
+    def stop(self, decision: Stop) -> None:
+        """Stop a gang and release its resources some seconds later."""
+        attempt = self.current(decision.job, decision.attempt)
+        if attempt is None or attempt.stopping:
+            return
+        run = attempt.run
+        evacuated = self.zones[attempt.placement.zone] != ZoneState.IN
+        fixed = not (run.job_spec.idempotent and run.job_spec.preemptible)
+        excused = evacuated or run.cancelled
+        if attempt.started_s is not None and fixed and not excused:
+            self.violate(Rule.PREEMPTED, f'{decision.job}: {decision.reason}')
+        self.tallies.stops += 1
+        attempt.stopping = True
+        self.tick_fast()
+        self.after(
+            self.header.stop_delay_s,
+            lambda: self.fail_attempt(attempt, 'stopped'),
+        )
+
+    def throttle(self, decision: Throttle) -> None:
+        """Bound the share of its declared size that an attempt uses."""
+        attempt = self.current(decision.job, decision.attempt)
+        if attempt is None:
+            return
+        self.tallies.throttles += 1
+        self.settle(attempt)
+        attempt.rate = min(1.0, decision.share / attempt.run.line.size)
+        if attempt.started_s is not None:
+            self.plan_finish(attempt)
+
+    def finish(self, decision: Finish) -> None:
+        """The policy gives a job no further attempt."""
+        run = self.runs.get(decision.job)
+        if run is None or run.state == RunState.DONE:
+            return
+        if run.state == RunState.HELD:
+            self.violate(Rule.UNKNOWN_JOB, f'{decision.job} ended while held')
+            return
+        if run.began and not decision.ran:
+            self.violate(Rule.NOT_RUN_FALSE, f'{decision.job} ended')
+        self.end_run(run, decision.outcome)
+
+    def current(self, job: JobId, number: int) -> Attempt | None:
+        """The attempt with this number if it holds resources."""
+        attempt = self.attempts.get(job)
+        if attempt is None or attempt.number != number:
+            return None
+        return attempt
+
+    # Life cycle of attempts.
+
+    def start(self, attempt: Attempt) -> None:
+        """Begin the gang, or fail it as a whole."""
+        if attempt.ended or attempt.stopping:
+            return
+        run = attempt.run
+        if self.zones[attempt.placement.zone] != ZoneState.IN:
+            self.fail_attempt(attempt, 'zone out')
+            return
+        members = [
+            self.workers[member.worker] for member in attempt.placement.members
+        ]
+        for worker in members:
+            if worker.condition == WorkerCondition.LOST:
+                self.fail_attempt(attempt, 'not prepared', worker.worker)
+                return
+        attempt.started_s = self.now_s
+        attempt.settled_s = self.now_s
+        run.began = True
+        if run.started_s is None:
+            run.started_s = self.now_s
+        self.plan_finish(attempt)
+        for worker in members:
+            if worker.condition == WorkerCondition.FAILS_ALL:
+                self.plan_worker_fault(attempt, worker)
+                break
+        self.deliver(GangStarted(job=run.line.job, attempt=attempt.number))
+
+    def plan_worker_fault(self, attempt: Attempt, worker: Worker) -> None:
+        """Fail an attempt that runs on a worker that fails everything."""
+
+        def fault() -> None:
+            if not attempt.ended:
+                self.tallies.worker_faults += 1
+                self.fail_attempt(attempt, 'task failed', worker.worker)
+
+        self.after(self.header.fail_after_s, fault)
+
+    def plan_finish(self, attempt: Attempt) -> None:
+        """Plan the end of an attempt at its present rate."""
+        attempt.finish_token += 1
+        token = attempt.finish_token
+        run = attempt.run
+        if attempt.rate <= 0:
+            return
+        left = max(0.0, run.line.runtime_s - run.progress_s) / attempt.rate
+
+        def end() -> None:
+            if not attempt.ended and token == attempt.finish_token:
+                self.finish_attempt(attempt)
+
+        self.after(left, end)
+
+    def finish_attempt(self, attempt: Attempt) -> None:
+        """An attempt reached its end."""
+        run = attempt.run
+        job = run.line.job
+        if run.line.fails == JobFailure.CRASH:
+            first = attempt.placement.members[0].worker
+            self.fail_attempt(attempt, 'task failed', first)
+            return
+        failed = run.line.fails == JobFailure.ANSWER
+        outcome = Outcome.FAILED if failed else Outcome.ANSWERED
+        self.settle(attempt)
+        self.tallies.useful_work += run.line.runtime_s * run.need
+        self.release(attempt)
+        self.end_run(run, outcome)
+        started = attempt.started_s or self.now_s
+        self.deliver(
+            JobFinished(
+                job=job,
+                attempt=attempt.number,
+                outcome=outcome,
+                runtime_s=self.now_s - started,
+            )
+        )
+
+    def fail_attempt(
+        self, attempt: Attempt, reason: str, worker: WorkerId | None = None
+    ) -> None:
+        """End an attempt without an answer; unsaved progress is lost."""
+        if attempt.ended:
+            return
+        run = attempt.run
+        self.settle(attempt)
+        lost = (run.progress_s - run.saved_s) * run.need
+        self.tallies.lost_work += lost
+        if self.moving:
+            self.tallies.move_work -= lost
+        run.progress_s = run.saved_s
+        self.release(attempt)
+        if run.cancelled:
+            self.end_run(run, Outcome.CANCELLED)
+        else:
+            self.enqueue(run)
+        self.tick_fast()
+        self.deliver(
+            GangFailed(
+                job=run.line.job,
+                attempt=attempt.number,
+                nothing_ran=attempt.started_s is None,
+                reason=reason,
+                worker=worker,
+            )
+        )
+
+    def release(self, attempt: Attempt) -> None:
+        """Give the resources of an attempt back."""
+        attempt.ended = True
+        attempt.run.attempt = None
+        self.attempts.pop(attempt.run.line.job)
+        self.hold(attempt, -1)
+
+    def hold(self, attempt: Attempt, sign: int) -> None:
+        """Take or give back the resources of an attempt."""
+        run = attempt.run
+        account = self.accounts[run.job_spec.account]
+        account.held += sign * run.need
+        for member in attempt.placement.members:
+            worker = self.workers[member.worker]
+            if sign > 0:
+                worker.held.update(member.accelerators)
+            else:
+                worker.held.difference_update(member.accelerators)
+            worker.used_slots += sign
+            worker.used_connections += sign
+            if self.usable(worker):
+                self.free[worker.zone] -= sign * len(member.accelerators)
+        self.refresh(account)
+
+    def settle(self, attempt: Attempt) -> None:
+        """Add the progress since the last call."""
+        if attempt.started_s is None:
+            return
+        run = attempt.run
+        gain = (self.now_s - attempt.settled_s) * attempt.rate
+        run.progress_s += gain
+        attempt.settled_s = self.now_s
+        if self.moving and self.zones[attempt.placement.zone] == ZoneState.IN:
+            self.tallies.move_work += gain * run.need
+
+    def settle_all(self) -> None:
+        """Add the progress of all attempts, before zones change."""
+        for attempt in self.attempts.values():
+            self.settle(attempt)
+
+    # Queues.
+
+    def enqueue(self, run: Run) -> None:
+        """A job waits."""
+        run.state = RunState.WAITING
+        account = self.accounts[run.job_spec.account]
+        if run.possible:
+            account.waiting[run.line.job] = run
+            if run.need:
+                self.waiting_needs[run.need] += 1
+        if run.last_attempt == 0 and run.possible:
+            self.demand += run.need
+        self.refresh(account)
+
+    def dequeue(self, run: Run) -> None:
+        """A job no longer waits."""
+        account = self.accounts[run.job_spec.account]
+        if account.waiting.pop(run.line.job, None) and run.need:
+            self.waiting_needs[run.need] -= 1
+            if not self.waiting_needs[run.need]:
+                self.waiting_needs.pop(run.need)
+        account.entitled.pop(run.line.job, None)
+        if run.entitled_s is not None:
+            self.count_reclaim(run)
+
+    def end_run(self, run: Run, outcome: Outcome) -> None:
+        """A job ended."""
+        if run.state == RunState.WAITING:
+            run.entitled_s = None
+            self.dequeue(run)
+        run.state = RunState.DONE
+        run.ended_s = self.now_s
+        run.outcome = outcome
+        if run.possible:
+            self.demand -= run.need
+        self.refresh(self.accounts[run.job_spec.account])
+
+    def refresh(self, account: Account) -> None:
+        """Find the waiting jobs that the guarantee of an account covers.
+
+        Jobs count in their order of waiting until the next one would exceed
+        the guaranteed accelerators that the account does not hold.
+        """
+        budget = account.guaranteed - account.held
+        entitled: dict[JobId, Run] = {}
+        if budget > 0:
+            for job, run in account.waiting.items():
+                if not run.need or not self.fits_cell(account, run):
+                    continue
+                if run.need > budget:
+                    break
+                budget -= run.need
+                entitled[job] = run
+        for job, run in account.entitled.items():
+            if job not in entitled:
+                run.entitled_s = None
+        for run in entitled.values():
+            if run.entitled_s is None:
+                run.entitled_s = self.now_s
+        account.entitled = entitled
+
+    def fits_cell(self, account: Account, run: Run) -> bool:
+        """Whether one guaranteed cell can hold a job."""
+        order = LEVEL_ORDER[run.job_spec.shape.level]
+        return any(
+            run.need <= size and LEVEL_ORDER[level] <= order
+            for level, size in account.cells
+        )
+
+    def count_reclaim(self, run: Run) -> None:
+        """Count how long a job within its guarantee waited."""
+        since = run.entitled_s
+        run.entitled_s = None
+        if since is None:
+            return
+        wait = (self.now_s - since, since, run.line.job)
+        if self.moving:
+            self.tallies.move_reclaim_waits.append(wait)
+        else:
+            self.tallies.reclaim_waits.append(wait)
+
+    def usable(self, worker: Worker) -> bool:
+        """Whether work can succeed on a worker."""
+        return (
+            worker.condition == WorkerCondition.HEALTHY
+            and self.zones[worker.zone] == ZoneState.IN
+        )
+
+    def recount(self) -> None:
+        """Count usable and free accelerators again."""
+        self.free = Counter()
+        self.capacity = 0
+        for worker in self.workers.values():
+            if self.usable(worker):
+                self.capacity += worker.accelerators
+                self.free[worker.zone] += worker.accelerators - len(worker.held)
+
+    def fits_inventory(self, job_spec: JobSpec) -> bool:
+        """Whether all workers together, empty, could hold a job."""
+        shape = job_spec.shape
+        room: Counter[str] = Counter()
+        for worker in self.workers.values():
+            tasks = worker.slots
+            if shape.accelerators:
+                tasks = min(tasks, worker.accelerators // shape.accelerators)
+            match shape.level:
+                case GangLevel.WORKER:
+                    room[worker.worker] += tasks
+                case GangLevel.RACK:
+                    room[worker.rack] += tasks
+                case GangLevel.ZONE:
+                    room[worker.zone] += tasks
+        return max(room.values(), default=0) >= shape.members
+
+    # Results.
+
+    def sample_state(self) -> None:
+        """Measure the state of the policy."""
+        self.tallies.peak_state_bytes = max(
+            self.tallies.peak_state_bytes, deep_size(self.policy)
+        )
+
+    def close(self) -> None:
+        """Count what still waits at the end of the trace."""
+        self.settle_all()
+        for run in self.runs.values():
+            if run.state == RunState.WAITING and run.entitled_s is not None:
+                self.count_reclaim(run)
+
+    def counted_runs(self) -> list[Run]:
+        """Jobs that can be answered: possible, sound and not cancelled."""
+        return [
+            run
+            for run in self.runs.values()
+            if run.possible
+            and not run.cancelled
+            and run.line.fails == JobFailure.NONE
+        ]
+
+    def completion_s(self, run: Run) -> float:
+        """Completion time; without an answer the job waits until the end."""
+        if run.outcome == Outcome.ANSWERED and run.ended_s is not None:
+            return run.ended_s - run.line.at_s
+        return self.header.end_s - run.line.at_s
+
+    def bound_s(self, run: Run) -> float:
+        """Completion time on an empty cluster, a lower bound."""
+        return run.line.runtime_s + self.header.start_delay_s
+
+    def urgent_waits(self) -> list[tuple[float, float, JobId]]:
+        """Seconds to the start of urgent jobs, time and job of each."""
+        waits = []
+        for run in self.counted_runs():
+            if run.job_spec.urgent:
+                started = run.started_s
+                if started is None:
+                    started = self.header.end_s
+                waits.append((
+                    started - run.line.at_s,
+                    run.line.at_s,
+                    run.line.job,
+                ))
+        return waits
+
+
+def percentile(values: Sequence[float], share: float) -> float:
+    """Nearest-rank percentile; 0 without values."""
+    if not values:
+        return 0
+    ranked = sorted(values)
+    return ranked[max(0, math.ceil(share * len(ranked)) - 1)]
