--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -687,8 +687,12 @@
             return
         run = attempt.run
         evacuated = self.zones[attempt.placement.zone] != ZoneState.IN
+        incomplete = any(
+            self.workers[member.worker].condition == WorkerCondition.LOST
+            for member in attempt.placement.members
+        )
         fixed = not (run.job_spec.idempotent and run.job_spec.preemptible)
-        excused = evacuated or run.cancelled
+        excused = evacuated or incomplete or run.cancelled
         if attempt.started_s is not None and fixed and not excused:
             self.violate(Rule.PREEMPTED, f'{decision.job}: {decision.reason}')
         self.tallies.stops += 1
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,478 @@
+"""Guards against a replay driver that counts wrongly or misses faults."""
+
+from collections.abc import Callable, Mapping, Sequence
+
+import pytest
+
+from benchmarks.baselines import (
+    FirstComePolicy,
+    InOrderPolicy,
+    StrictQuotaPolicy,
+)
+from benchmarks.make_traces import (
+    SMALL,
+    TRACES,
+    WEEKS,
+    bundle,
+    guarantee,
+    shape,
+    zone_spec,
+)
+from benchmarks.replay import Replay, Rule, percentile
+from benchmarks.trace import (
+    CancelLine,
+    Header,
+    JobClass,
+    SubmitLine,
+    Trace,
+    TraceLine,
+    WorkerCondition,
+    WorkerLine,
+    ZoneLine,
+    read_trace,
+)
+from mangotrail._bundle import GuaranteedShape, Level
+from mangotrail._messages import (
+    MemberPlacement,
+    Outcome,
+    Placement,
+    ZoneState,
+)
+from mangotrail.events import (
+    Checkpoint,
+    Decision,
+    Event,
+    Finish,
+    GangFailed,
+    GangStarted,
+    JobSubmitted,
+    Place,
+    Refuse,
+    Stop,
+    Throttle,
+)
+from mangotrail.ids import (
+    AccountId,
+    EndpointId,
+    JobId,
+    ServiceId,
+    WorkerId,
+    ZoneId,
+)
+from mangotrail.policy import Policy
+
+ONE = AccountId('one')
+TWO = AccountId('two')
+SERVICE = ServiceId('planner')
+FIRST = JobId('a')
+SECOND = JobId('b')
+THIRD = JobId('c')
+W0 = WorkerId('z0-000')
+W1 = WorkerId('z0-001')
+
+
+def submit(
+    at_s: float, job: JobId, job_class: str, runtime_s: float
+) -> SubmitLine:
+    """A submission with a true declared run time."""
+    return SubmitLine(
+        at_s=at_s,
+        job=job,
+        job_class=job_class,
+        runtime_s=runtime_s,
+        declared_s=runtime_s,
+    )
+
+
+def make_trace(
+    lines: Sequence[TraceLine],
+    *,
+    guarantees: Mapping[str, Sequence[GuaranteedShape]] | None = None,
+    end_s: float = 1000,
+) -> Trace:
+    """A trace on two zones of two workers with four accelerators."""
+    zones = [zone_spec(name, 'r', racks=[(2, 4)]) for name in ('z0', 'z1')]
+    return Trace(
+        header=Header(
+            name='test',
+            seed=0,
+            end_s=end_s,
+            bundle=bundle(
+                ['planner'], zones, guarantees or {'one': [], 'two': []}
+            ),
+            classes={
+                'zone': JobClass(
+                    account=ONE, service=SERVICE, shape=shape(2, 4)
+                ),
+                'half': JobClass(
+                    account=TWO, service=SERVICE, shape=shape(1, 4)
+                ),
+                'once': JobClass(
+                    account=ONE,
+                    service=SERVICE,
+                    shape=shape(1, 4),
+                    idempotent=False,
+                ),
+            },
+        ),
+        lines=lines,
+    )
+
+
+HAND = (
+    submit(0, FIRST, 'zone', 100),
+    submit(10, SECOND, 'zone', 200),
+    submit(20, THIRD, 'half', 50),
+)
+
+
+class ScriptedPolicy(Policy):
+    """Returns prepared decisions when a job is submitted or starts."""
+
+    def __init__(
+        self,
+        on_submit: Mapping[JobId, Sequence[Decision]],
+        on_start: Mapping[JobId, Sequence[Decision]] | None = None,
+        on_fail: Mapping[JobId, Sequence[Decision]] | None = None,
+    ) -> None:
+        self.on_submit = on_submit
+        self.on_start = on_start or {}
+        self.on_fail = dict(on_fail or {})
+        self.events: list[Event] = []
+
+    def handle(self, event: Event, now_s: float) -> tuple[Decision, ...]:
+        """Return what was prepared for the event."""
+        self.events.append(event)
+        match event:
+            case JobSubmitted():
+                return tuple(self.on_submit.get(event.job, ()))
+            case GangStarted():
+                return tuple(self.on_start.get(event.job, ()))
+            case GangFailed():
+                return tuple(self.on_fail.pop(event.job, ()))
+            case _:
+                return ()
+
+
+def place(
+    job: JobId,
+    members: Sequence[tuple[WorkerId, Sequence[int]]],
+    *,
+    attempt: int = 1,
+    zone: str = 'z0',
+    service: str = 'planner',
+) -> Place:
+    """A placement on the workers given."""
+    endpoint = EndpointId(f'{service}.{zone}')
+    return Place(
+        job=job,
+        attempt=attempt,
+        placement=Placement(
+            zone=ZoneId(zone),
+            members=[
+                MemberPlacement(worker=worker, accelerators=indexes)
+                for worker, indexes in members
+            ],
+            endpoint=endpoint,
+            endpoint_url='',
+            platform_url='',
+        ),
+    )
+
+
+ALL = (0, 1, 2, 3)
+WHOLE = ((W0, ALL), (W1, ALL))
+
+
+def broken(
+    lines: Sequence[TraceLine],
+    on_submit: Mapping[JobId, Sequence[Decision]],
+    **scripts: Mapping[JobId, Sequence[Decision]],
+) -> dict[Rule, int]:
+    """Rules that a scripted policy breaks."""
+    policy = ScriptedPolicy(on_submit, **scripts)
+    return dict(Replay(trace=make_trace(lines), policy=policy).run().violations)
+
+
+class TestTallies:
+    """Tallies of a trace that is worked out by hand."""
+
+    def test_first_come(self) -> None:
+        """Both gangs run at once; the third job waits for the first."""
+        driver = Replay(trace=make_trace(HAND), policy=FirstComePolicy())
+        tallies = driver.run()
+        times = [driver.completion_s(run) for run in driver.runs.values()]
+        # 1 s of start delay each; the third starts when the first ends.
+        assert times == [101, 201, 101 - 20 + 51]
+        assert [driver.bound_s(run) for run in driver.runs.values()] == [
+            101,
+            201,
+            51,
+        ]
+        # Free while the third waits: nothing, both zones are full.
+        assert tallies.fragmented == 0
+        # 16 accelerators until the last job no longer waits at 101 s.
+        assert tallies.capacity == 16 * 101
+        assert tallies.useful_work == 8 * 100 + 8 * 200 + 4 * 50
+        assert tallies.violations == {}
+
+    def test_strict_quota(self) -> None:
+        """A quota of 8 delays the second gang and lets the third job run."""
+        driver = Replay(trace=make_trace(HAND), policy=StrictQuotaPolicy())
+        tallies = driver.run()
+        times = [driver.completion_s(run) for run in driver.runs.values()]
+        assert times == [101, 101 - 10 + 201, 51]
+        # From 10 s to 20 s and from 71 s to 101 s eight accelerators are free
+        # while the second gang waits; from 20 s to 71 s only four are.
+        assert tallies.fragmented == 8 * 10 + 8 * 30
+        assert tallies.violations == {}
+
+    def test_in_order(self) -> None:
+        """No job passes the gang at the head of the queue."""
+        lines = (*HAND[:2], submit(15, JobId('d'), 'zone', 10), HAND[2])
+        driver = Replay(trace=make_trace(lines), policy=InOrderPolicy())
+        driver.run()
+        last = driver.runs[THIRD]
+        # The gang of 15 s starts at 101 s and ends at 112 s.
+        assert driver.completion_s(last) == 112 - 20 + 51
+
+    def test_reclaim_wait(self) -> None:
+        """A job inside a guarantee waits until the borrower ends."""
+        trace = make_trace(
+            [*HAND[:2], submit(30, THIRD, 'half', 50)],
+            guarantees={'one': [], 'two': [guarantee(Level.WORKER, 4, 1)]},
+        )
+        tallies = Replay(trace=trace, policy=FirstComePolicy()).run()
+        assert tallies.reclaim_waits == [(71, 30, THIRD)]
+
+    def test_move(self) -> None:
+        """Work during a move is compared with what the rest could do."""
+        lines = (
+            submit(0, FIRST, 'half', 400),
+            ZoneLine(
+                at_s=101,
+                zone=ZoneId('z0'),
+                state=ZoneState.OUT,
+                deadline_s=60,
+            ),
+            ZoneLine(at_s=301, zone=ZoneId('z0'), state=ZoneState.IN),
+        )
+        driver = Replay(trace=make_trace(lines), policy=FirstComePolicy())
+        tallies = driver.run()
+        # A checkpoint at 101 s keeps 100 s; the stop at 131 s takes 1 s, the
+        # new start 1 s, so the job runs in the other zone from 133 s.
+        assert tallies.lost_work == 4 * 31
+        assert tallies.move_possible == 4 * 200
+        assert tallies.move_work == 4 * (301 - 133) - 4 * 31
+        assert driver.runs[FIRST].ended_s == 133 + 300
+
+    def test_throttle(self) -> None:
+        """A throttled job of ten times its size runs at a tenth."""
+        line = SubmitLine(
+            at_s=0,
+            job=FIRST,
+            job_class='half',
+            runtime_s=50,
+            declared_s=50,
+            size=10,
+        )
+        policy = ScriptedPolicy(
+            {FIRST: [place(FIRST, [(W0, ALL)])]},
+            {FIRST: [Throttle(job=FIRST, attempt=1, share=1)]},
+        )
+        driver = Replay(trace=make_trace([line]), policy=policy)
+        driver.run()
+        assert driver.runs[FIRST].ended_s == pytest.approx(501)
+
+    def test_percentile(self) -> None:
+        """The nearest rank is taken, not an interpolation."""
+        assert percentile([4, 1, 3, 2], 0.5) == 2
+        assert percentile(range(1, 101), 0.95) == 95
+        assert percentile([], 0.5) == 0
+
+
+class TestLifecycle:
+    """Events that the driver sends to a policy."""
+
+    def test_stop_before_checkpoint(self) -> None:
+        """A stop before a checkpoint is complete loses everything."""
+        stop = Stop(job=FIRST, attempt=1, reason='test')
+        again = {FIRST: [place(FIRST, WHOLE, attempt=2)]}
+        ends = []
+        for decisions in (
+            [stop],
+            [Checkpoint(job=FIRST, attempt=1, deadline_s=30), stop],
+        ):
+            driver = Replay(
+                trace=make_trace(HAND[:1]),
+                policy=ScriptedPolicy(
+                    {FIRST: [place(FIRST, WHOLE)]}, {FIRST: decisions}, again
+                ),
+            )
+            driver.run()
+            ends.append(driver.runs[FIRST].ended_s)
+        # The stop takes 1 s and the checkpoint 3 s.
+        assert ends == [103, 103]
+
+    def test_lost_worker(self) -> None:
+        """The whole gang fails and names the worker that was lost."""
+        lines = [
+            HAND[0],
+            WorkerLine(at_s=50, worker=W1, condition=WorkerCondition.LOST),
+        ]
+        policy = ScriptedPolicy({FIRST: [place(FIRST, WHOLE)]})
+        Replay(trace=make_trace(lines), policy=policy).run()
+        failures = [it for it in policy.events if isinstance(it, GangFailed)]
+        assert failures == [
+            GangFailed(
+                job=FIRST,
+                attempt=1,
+                nothing_ran=False,
+                reason='worker lost',
+                worker=W1,
+            )
+        ]
+
+    def test_worker_that_fails_everything(self) -> None:
+        """Baselines retry elsewhere and still answer the job."""
+        lines = [
+            WorkerLine(at_s=0, worker=W0, condition=WorkerCondition.FAILS_ALL),
+            submit(1, FIRST, 'half', 50),
+        ]
+        driver = Replay(trace=make_trace(lines), policy=FirstComePolicy())
+        tallies = driver.run()
+        assert tallies.worker_faults == 1
+        # Fault 20 s after the start at 2 s, then a whole run elsewhere.
+        assert driver.runs[FIRST].ended_s == 22 + 1 + 50
+
+    @pytest.mark.parametrize('at_s', [50, 120])
+    def test_cancellation(self, at_s: float) -> None:
+        """A cancelled job ends as cancelled, waiting or running."""
+        lines = (*HAND, CancelLine(at_s=at_s, job=THIRD))
+        driver = Replay(trace=make_trace(lines), policy=FirstComePolicy())
+        driver.run()
+        assert driver.runs[THIRD].outcome == Outcome.CANCELLED
+
+
+class TestHardRules:
+    """Policies that break one rule each."""
+
+    def test_accelerator_twice(self) -> None:
+        """An accelerator that another job holds is not placed again."""
+        decisions = {
+            FIRST: [place(FIRST, WHOLE)],
+            THIRD: [place(THIRD, [(W0, ALL)])],
+        }
+        assert broken([HAND[0], HAND[2]], decisions) == {
+            Rule.ACCELERATOR_TWICE: 1
+        }
+
+    def test_accelerator_twice_in_gang(self) -> None:
+        """Two members of one gang cannot share an accelerator."""
+        decisions = {FIRST: [place(FIRST, [(W0, ALL), (W0, ALL)])]}
+        assert broken(HAND[:1], decisions) == {Rule.ACCELERATOR_TWICE: 1}
+
+    def test_slot_twice(self) -> None:
+        """A worker has a limited number of slots."""
+        trace = make_trace([HAND[2]])
+        classes = {
+            'half': JobClass(account=TWO, service=SERVICE, shape=shape(9, 0))
+        }
+        header = Header(
+            name='slots',
+            seed=0,
+            end_s=100,
+            bundle=trace.header.bundle,
+            classes=classes,
+        )
+        policy = ScriptedPolicy({THIRD: [place(THIRD, [(W0, ())] * 9)]})
+        driver = Replay(
+            trace=Trace(header=header, lines=trace.lines), policy=policy
+        )
+        assert driver.run().violations == {Rule.SLOT_TWICE: 1}
+
+    def test_gang_not_whole(self) -> None:
+        """A gang with a missing member must not start."""
+        decisions = {FIRST: [place(FIRST, [(W0, ALL)])]}
+        assert broken(HAND[:1], decisions) == {Rule.GANG_NOT_WHOLE: 1}
+
+    def test_zone_out(self) -> None:
+        """No member goes to a zone that was taken out."""
+        out = ZoneLine(at_s=0, zone=ZoneId('z0'), state=ZoneState.OUT)
+        decisions = {FIRST: [place(FIRST, WHOLE)]}
+        assert broken([out, HAND[0]], decisions) == {Rule.ZONE_OUT: 1}
+
+    def test_worker_of_other_zone(self) -> None:
+        """A gang is inside one zone."""
+        other = WorkerId('z1-000')
+        decisions = {FIRST: [place(FIRST, [(W0, ALL), (other, ALL)])]}
+        assert broken(HAND[:1], decisions) == {Rule.ZONE_OUT: 1}
+
+    def test_worker_lost(self) -> None:
+        """A worker that was reported lost gets no work."""
+        lost = WorkerLine(at_s=0, worker=W0, condition=WorkerCondition.LOST)
+        decisions = {THIRD: [place(THIRD, [(W0, ALL)])]}
+        assert broken([lost, HAND[2]], decisions) == {Rule.WORKER_LOST: 1}
+
+    def test_second_run(self) -> None:
+        """A job that is not idempotent does not run twice."""
+        once = submit(0, FIRST, 'once', 100)
+        bad = WorkerLine(at_s=0, worker=W0, condition=WorkerCondition.FAILS_ALL)
+        assert broken(
+            [bad, once],
+            {FIRST: [place(FIRST, [(W0, ALL)])]},
+            on_fail={FIRST: [place(FIRST, [(W1, ALL)], attempt=2)]},
+        ) == {Rule.SECOND_RUN: 1}
+
+    def test_preempted(self) -> None:
+        """A job that is not idempotent is not stopped for others."""
+        once = submit(0, FIRST, 'once', 100)
+        assert broken(
+            [once],
+            {FIRST: [place(FIRST, [(W0, ALL)])]},
+            on_start={FIRST: [Stop(job=FIRST, attempt=1, reason='reclaim')]},
+        ) == {Rule.PREEMPTED: 1}
+
+    def test_unknown_job(self) -> None:
+        """A job that already holds resources is not placed again."""
+        decisions = {
+            FIRST: [
+                place(FIRST, WHOLE),
+                place(FIRST, [(WorkerId('z1-000'), ALL)], zone='z1'),
+            ]
+        }
+        assert broken(HAND[:1], decisions) == {Rule.UNKNOWN_JOB: 1}
+
+    def test_endpoint(self) -> None:
+        """A placement names an endpoint of the service."""
+        decisions = {FIRST: [place(FIRST, WHOLE, service='other')]}
+        assert broken(HAND[:1], decisions) == {Rule.ENDPOINT: 1}
+
+    @pytest.mark.parametrize(
+        'decision',
+        [
+            Refuse(job=FIRST, reason='test'),
+            Finish(
+                job=FIRST, outcome=Outcome.NOT_RUN, ran=False, reason='test'
+            ),
+        ],
+    )
+    def test_not_run_false(self, decision: Decision) -> None:
+        """A job that ran is not reported as not run."""
+        bad = WorkerLine(at_s=0, worker=W0, condition=WorkerCondition.FAILS_ALL)
+        assert broken(
+            [bad, HAND[0]],
+            {FIRST: [place(FIRST, WHOLE)]},
+            on_fail={FIRST: [decision]},
+        ) == {Rule.NOT_RUN_FALSE: 1}
+
+
+class TestTraces:
+    """Committed traces."""
+
+    @pytest.mark.parametrize('make', [*SMALL, *WEEKS])
+    def test_generated(self, make: Callable[[], Trace]) -> None:
+        """A committed trace is what its generator writes."""
+        trace = make()
+        path = TRACES / f'{trace.header.name}.jsonl'
+        assert read_trace(path) == trace
