Add a pooled reference schedule to the measurements

Cause: the completion targets need a yardstick for what any policy could reach; run time alone is a loose lower bound under load. Change: a clairvoyant schedule on one pool of accelerators, printed beside the completion targets; jobs that the trace cancels are counted nowhere.

--- a/benchmarks/measure.py
+++ b/benchmarks/measure.py
@@ -19,6 +19,7 @@
     StrictQuotaPolicy,
 )
 from benchmarks.make_traces import TRACES, two_years
+from benchmarks.reference import PooledSchedule
 from benchmarks.replay import Replay, percentile
 from benchmarks.trace import Trace, read_trace
 from mangotrail.ids import JobId
@@ -176,12 +177,16 @@
 def judge(name: str, results: Mapping[str, Result]) -> list[Result]:
     """Compare the core with the targets of the design page."""
     core = msgspec.convert(results[CORE], dict[str, object])
+    pooled: dict[str, float] = {}
+    if name.endswith(WEEK_SUFFIX):
+        pooled = spread(PooledSchedule(load(name)).completion_s())
     checks = [verdict('violations', as_float(core['violations']), 0, most=True)]
     if name.endswith(WEEK_SUFFIX):
         for group in ('', 'common_'):
             for rank in ('median', 'p95'):
                 checks.extend(
                     completion_check(results, group, rank, policies)
+                    | reference(results, pooled, rank, policies, group)
                     for policies in (tuple(BASELINES), STRICT)
                 )
     if name.endswith(WEEK_SUFFIX) or name == LARGE:
@@ -251,6 +256,22 @@
     return check | {'floor': ratio(bound, best)}
 
 
+def reference(
+    results: Mapping[str, Result],
+    pooled: Mapping[str, float],
+    rank: str,
+    policies: Sequence[str],
+    jobs: str,
+) -> Result:
+    """The same ratio for the pooled schedule, over all jobs."""
+    if jobs:
+        return {}
+    best = min(
+        as_float(results[policy]['completion_s'], rank) for policy in policies
+    )
+    return {'pooled': ratio(pooled[rank], best)}
+
+
 def as_float(value: object, key: str | None = None) -> float:
     """A number of a result, or of a group in it."""
     if key is not None:
@@ -312,8 +333,12 @@
 
 
 def floor_text(check: Result) -> str:
-    """The value that no policy gets below, if it is known."""
-    return f', floor {check["floor"]}' if 'floor' in check else ''
+    """The ratios of the lower bound and of the pooled schedule, if known."""
+    return ''.join(
+        f', {name} {check[name]}'
+        for name in ('floor', 'pooled')
+        if name in check
+    )
 
 
 if __name__ == '__main__':
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -1010,12 +1010,17 @@
                 self.count_reclaim(run)
 
     def counted_runs(self) -> list[Run]:
-        """Jobs that can be answered: possible, sound and not cancelled."""
+        """Jobs that can be answered: possible, sound and never cancelled."""
+        cancelled = {
+            line.job
+            for line in self.trace.lines
+            if isinstance(line, CancelLine)
+        }
         return [
             run
-            for run in self.runs.values()
+            for job, run in self.runs.items()
             if run.possible
-            and not run.cancelled
+            and job not in cancelled
             and run.line.fails == JobFailure.NONE
         ]
 
