--- a/tools/write_docs.py
+++ b/tools/write_docs.py
@@ -4,17 +4,19 @@
 """
 
 import json
+import re
 from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 from typing import Any
 
-from mangotrail import errors
+from mangotrail import errors, metrics
 from mangotrail.cli import COMMANDS, load_command
 from mangotrail.commands import EXIT_MEANINGS, command_help, exit_code
 from mangotrail.metrics import catalogue
 
 DOCS_FOLDER = Path('docs')
-SCHEMA_FOLDER = Path('mangotrail/schema')
+PACKAGE_FOLDER = Path('mangotrail')
+SCHEMA_FOLDER = PACKAGE_FOLDER / 'schema'
 NOTICE = '<!-- Written by python -m tools.write_docs; do not edit. -->'
 CONFIGURATION = (
     (
@@ -47,8 +49,10 @@
 
 def metrics_page() -> str:
     """Return the page of all metrics."""
-    rows = [
-        (
+    sent = _sent_metrics()
+    head = ('name', 'type', 'unit', 'label', 'meaning')
+    rows = {
+        metric.name: (
             f'`{metric.name}{".LABEL" if metric.label else ""}`',
             type(metric).__name__.lower(),
             metric.unit.value,
@@ -56,15 +60,22 @@
             metric.meaning,
         )
         for metric in catalogue()
-    ]
-    return _page(
-        'Metrics',
+    }
+    parts = [
         'Metrics are sent over UDP in the statsd format if `statsd` is set, '
         'at most once a second, under `mangotrail.PROCESS.INSTANCE`. Counters '
         'are summed and gauges overwritten between two sendings. In labels, '
         'characters other than letters, digits, `-` and `_` become `_`.',
-        _table(('name', 'type', 'unit', 'label', 'meaning'), rows),
-    )
+        _table(head, [row for name, row in rows.items() if name in sent]),
+    ]
+    unsent = [row for name, row in rows.items() if name not in sent]
+    if unsent:
+        parts.extend((
+            '## Declared but not sent',
+            'No process sends these yet.',
+            _table(head, unsent),
+        ))
+    return _page('Metrics', *parts)
 
 
 def errors_page() -> str:
@@ -151,6 +162,25 @@
         DOCS_FOLDER.joinpath(name).write_text(page())
 
 
+def _sent_metrics() -> set[str]:
+    """Return the names of the metrics that a process sends."""
+    sources = '\n'.join(
+        path.read_text()
+        for path in sorted(PACKAGE_FOLDER.glob('*.py'))
+        if path.name != Path(metrics.__file__).name
+    )
+    used = set(
+        re.findall(r'metrics\.(?:count|put|time)\(\s*([A-Z_]+)', sources)
+    )
+    # The client itself counts what it drops.
+    used.add('TIMINGS_DROPPED')
+    return {
+        declared.name
+        for constant, declared in vars(metrics).items()
+        if constant in used
+    }
+
+
 def _error_types() -> Iterator[type[errors.MangotrailError]]:
     for kind in vars(errors).values():
         if isinstance(kind, type) and issubclass(kind, errors.MangotrailError):
