Report failed tasks and occupied ports of a process as typed errors

Cause: a control process whose port was in use, or whose tasks failed, ended with a traceback and no remedy. Change: the command line prints each typed error of an exception group and turns an address that cannot be bound into a SettingsError.

--- a/mangotrail/cli.py
+++ b/mangotrail/cli.py
@@ -2,8 +2,9 @@
 
 import os
 import sys
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from importlib import import_module
+from typing import Any
 
 from mangotrail.commands import (
     EXIT_MEANINGS,
@@ -93,6 +94,22 @@
     except MangotrailError as error:
         print_error(error, as_json=values.json)
         return exit_code(error)
+    except ExceptionGroup as group:
+        # A process whose tasks failed reports each failure.
+        failures = list(_leaves(group))
+        if not all(isinstance(one, MangotrailError) for one in failures):
+            raise
+        for failure in failures:
+            print_error(failure, as_json=values.json)
+        return exit_code(failures[0])
+
+
+def _leaves(group: ExceptionGroup[Any]) -> Iterator[Any]:
+    for inner in group.exceptions:
+        if isinstance(inner, ExceptionGroup):
+            yield from _leaves(inner)
+        else:
+            yield inner
 
 
 def find_name(words: Sequence[str]) -> str | None:
--- a/mangotrail/commands_process.py
+++ b/mangotrail/commands_process.py
@@ -2,6 +2,7 @@
 
 import sys
 from collections.abc import Coroutine, Sequence
+from errno import EADDRINUSE, EADDRNOTAVAIL
 from importlib import import_module
 from importlib.util import find_spec
 from pathlib import Path
@@ -14,6 +15,8 @@
 from mangotrail.errors import SettingsError
 from mangotrail.settings import load_credentials, load_settings, own_peer
 
+LISTEN_ERRORS = frozenset((EADDRINUSE, EADDRNOTAVAIL))
+
 
 class SettingsCommand(Command):
     """A command that works on one settings file."""
@@ -172,5 +175,17 @@
     configure_logs(settings.log, settings.instance, process)
     # Imported here so that a control process never loads the HTTP server.
     module = import_module(f'mangotrail.{process}')
-    run_coroutine(getattr(module, f'run_{process}')(settings, credentials))
+    try:
+        run_coroutine(getattr(module, f'run_{process}')(settings, credentials))
+    except Exception as failure:
+        # Errors of pyzmq have a number too, but are no OSError.
+        if getattr(failure, 'errno', None) not in LISTEN_ERRORS:
+            raise
+        raise SettingsError(
+            'The process cannot listen on an address of its settings.',
+            field='peers' if process == 'gateway' else 'peers, gateway_link',
+            value=failure,
+            allowed='free ports of addresses of this instance',
+            remedy='End the process that uses the port or correct the address.',
+        ) from failure
     return ExitCode.DONE
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,5 +1,6 @@
 """Guards against commands that mislead operators or load too much."""
 
+import errno
 import json
 import shlex
 import subprocess
@@ -9,7 +10,7 @@
 
 import pytest
 
-from mangotrail import errors
+from mangotrail import commands_process, errors
 from mangotrail.cli import COMMANDS, load_command, main
 from mangotrail.commands import ExitCode, command_help, exit_code, parse_words
 from mangotrail.tables import format_table
@@ -217,6 +218,48 @@
         assert run_line(line, tmp_path, closed_url()) == ExitCode.INVALID
         assert exit_code(errors.InvalidBundleError('x')) == ExitCode.INVALID
 
+    @pytest.mark.parametrize('foreign', [False, True])
+    def test_failed_tasks(
+        self,
+        tmp_path: Path,
+        monkeypatch: pytest.MonkeyPatch,
+        capsys: pytest.CaptureFixture[str],
+        foreign: bool,
+    ) -> None:
+        """A failed process must name every failure, and show a fault whole."""
+        inner = ExceptionGroup('tasks', [errors.StorageError('disk full')])
+        other = ValueError('x') if foreign else errors.NotLeaderError('lost')
+
+        def fail(running: Any) -> None:
+            running.close()
+            raise ExceptionGroup('process', [inner, other])
+
+        monkeypatch.setattr(commands_process, 'run_coroutine', fail)
+        settings = deploy(tmp_path).settings['soweto-yard-1']
+        words = ['gateway', '--settings', str(settings)]
+        if foreign:
+            with pytest.raises(ExceptionGroup):
+                main(words)
+            return
+        assert main(words) == ExitCode.INTERNAL
+        printed = capsys.readouterr().err
+        assert 'disk full (storage_error)' in printed
+        assert 'lost (not_leader)' in printed
+
+    def test_port_in_use(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """A second start must be told apart from a fault of the program."""
+
+        def fail(running: Any) -> None:
+            running.close()
+            raise OSError(errno.EADDRINUSE, 'Address already in use')
+
+        monkeypatch.setattr(commands_process, 'run_coroutine', fail)
+        settings = deploy(tmp_path).settings['soweto-yard-1']
+        words = ['gateway', '--settings', str(settings)]
+        assert main(words) == ExitCode.INVALID
+
 
 class TestTables:
     """Tables for people."""
