Add make docs

Cause: the pages written from the code need one command that is easy to find. Change: the target docs runs tools/write_docs.py.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install demo test measure check format format-check lint typecheck generate generate-check clean
+.PHONY: install demo test measure check format format-check lint typecheck generate generate-check docs clean
 
 # The stamp is renewed whenever a pinned version changes.
 .venv/stamp: requirements.lock pyproject.toml
@@ -20,6 +20,10 @@
 	$(BIN)/python tools/generate.py
 	git diff --exit-code -- mangotrail
 
+# Reference pages that are written from the code; a test compares them.
+docs: install
+	$(BIN)/python -m tools.write_docs
+
 format: install
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
