--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -14,11 +14,23 @@
 import msgspec
 import pytest
 
-from examples.deployment import LocalDeployment, post_json, wait_for
+from examples.deployment import (
+    LocalDeployment,
+    get_json,
+    post_json,
+    wait_for,
+)
 from mangotrail._bundle import Level
-from mangotrail._messages import JobState, JobView, Outcome, View, ZoneState
+from mangotrail._messages import (
+    JobState,
+    JobView,
+    LeaveEndpoint,
+    Outcome,
+    View,
+    ZoneState,
+)
 from mangotrail.errors import BundleConflictError, MangotrailError
-from mangotrail.ids import AccountId, OperationId, RequestId
+from mangotrail.ids import AccountId, EndpointId, OperationId, RequestId
 
 BUNDLE = Path('examples/bundles/tuylu_dal.json')
 BASE_PORT = 25100
@@ -130,13 +142,13 @@
         post_json(f'{url}/faults', {'answer_s': answer_s})
 
 
-def dispatcher_of(deployment: LocalDeployment, request: str) -> str:
-    """Return the instance whose gateway runs a request."""
+def dispatcher_of(deployment: LocalDeployment, view: JobView) -> str:
+    """Return the instance whose gateway runs a job."""
     for instance in deployment.instances:
         dump = deployment.operator(instance).dump('gateway')
-        if any(request in str(row) for row in dump.get('attempts', ())):
+        if any(row['job'] == view.job for row in dump['attempts']):
             return instance
-    return ''
+    raise AssertionError(f'no gateway runs {view}')
 
 
 def is_whole(request: str, view: JobView) -> bool:
@@ -193,13 +205,15 @@
         """A frozen gateway must not begin work after its zone was taken out."""
         zone = deployment.bundle.zones[0].zone
         frozen = [name for name in deployment.instances if zone in name]
+        others = [name for name in deployment.instances if name not in frozen]
+        # From another region, so that the frozen gateways are the dispatchers.
+        origin = others[-1]
         with ThreadPoolExecutor(max_workers=8) as pool:
             for number in range(24):
-                pool.submit(submit, deployment, f'zone-{number}')
+                pool.submit(submit, deployment, f'zone-{number}', origin)
             for instance in frozen:
                 deployment.signal(f'gateway-{instance}', signal.SIGSTOP)
                 deployment.signal(f'control-{instance}', signal.SIGSTOP)
-        others = [name for name in deployment.instances if name not in frozen]
         operator = deployment.operator(others[0])
         wait_for(
             lambda: bool(
@@ -262,8 +276,8 @@
         set_answer_time(deployment, 3)
         first, second = deployment.instances[0], deployment.instances[3]
         submit(deployment, 'once', first, idempotent=False)
-        wait_state(deployment, 'once', JobState.RUNNING)
-        dispatcher = dispatcher_of(deployment, 'once')
+        view = wait_state(deployment, 'once', JobState.RUNNING)
+        dispatcher = dispatcher_of(deployment, view)
         deployment.kill(f'gateway-{dispatcher}')
         retry = second if second != dispatcher else deployment.instances[4]
         submit(deployment, 'once', retry, idempotent=False)
@@ -305,14 +319,15 @@
             token=next(iter(service.values())),
         )
         for number in range(4):
-            client.leave_endpoint(f'leaving-{number}', generation=1)  # type: ignore[arg-type]
+            endpoint = EndpointId(f'leaving-{number}')
+            client.leave_endpoint(
+                LeaveEndpoint(endpoint=endpoint, generation=1)
+            )
         left_s = time.time()
         for number in range(12):
             submit(deployment, f'leave-{number}')
         for number in range(12):
             wait_end(deployment, f'leave-{number}')
-        from examples.deployment import get_json
-
         history = get_json(f'{url}/records')['history']
         late = [run for run in history if run['wall_s'] > left_s + TARGET_S]
         assert not late
@@ -341,10 +356,7 @@
             )
             wait_for(
                 lambda: (
-                    deployment.operator(instance).dump('gateway')[
-                        'requests_in_progress'
-                    ]
-                    > 1
+                    deployment.operator(instance).dump('gateway')['callers'] > 0
                 ),
                 what='waiting caller',
                 timeout_s=TARGET_S,
