Let a member whose removal is uncommitted campaign

Cause: two ways to stop for good in random fault runs. A voter whose own log already removed it could be the only one with a log long enough to win, but never campaigned.

--- a/mangotrail/_replication.py
+++ b/mangotrail/_replication.py
@@ -204,9 +204,10 @@
     ) -> Iterator[Outgoing]:
         """Yield what is due to the peers: entries, heartbeats and chunks."""
         for peer in self.peers.values():
-            if peer.next_index <= self.log.base_index and not peer.snapshot:
-                if snapshot is None:
-                    continue
+            behind = peer.next_index <= self.log.base_index
+            # A newer snapshot has replaced the file that was being sent.
+            replaced = peer.snapshot is not None and peer.snapshot != snapshot
+            if snapshot and (replaced or (behind and not peer.snapshot)):
                 peer.start_snapshot(snapshot)
             if peer.snapshot:
                 yield from self.chunks(peer, commit, now_s)
--- a/mangotrail/agreement.py
+++ b/mangotrail/agreement.py
@@ -159,6 +159,22 @@
         """Whether this member counts in the newest configuration."""
         return any(voter.member == self.member for voter in self.config.voters)
 
+    @property
+    def may_campaign(self) -> bool:
+        """Whether this member may become leader.
+
+        A member whose removal is not known to be committed still may: it can
+        be the only one with a log that is long enough to win.
+        """
+        configs = [
+            config for index, config in self.log.configs if index > self.commit
+        ]
+        return self.can_vote and any(
+            voter.member == self.member
+            for config in (*configs, self.log.config_at(self.commit))
+            for voter in config.voters
+        )
+
     @property
     def is_member(self) -> bool:
         """Whether the newest configuration names this member."""
@@ -284,25 +300,13 @@
         """
         self.start_clock(now_s)
         self.check_leading()
-        recent = self.caught_up(now_s) - {self.member}
-        lead = self.replication
-        candidates = [
-            (peer.match_index, member)
-            for member, peer in (lead.peers if lead else {}).items()
-            if member in recent
-            and lead
-            and member in lead.voters
-            and target in {member, NOBODY}
-        ]
-        if not candidates:
+        if not self.start_transfer(now_s, target):
             raise MembershipError(
                 'no voter can take over the leadership',
                 field='target',
                 value=target,
                 remedy='retry when the voter answers',
             )
-        self.transfer_to = max(candidates)[1]
-        self.transfer_until_s = now_s + self.timing.election_max_s
         return self.flush(now_s)
 
     def synced(self, write: int, now_s: float) -> Effects:
@@ -385,13 +389,15 @@
             else:
                 self.transfer_to = NOBODY
                 self.transfer_until_s = inf
+        elif not self.is_voter and self.log.config_index <= self.commit:
+            self.start_transfer(now_s, NOBODY)
 
     def tick_follower(self, now_s: float) -> None:
         """Campaign and ask to join when no leader is heard."""
         if now_s < self.deadline_s:
             return
         self.leader = NOBODY
-        if self.can_vote and self.is_voter:
+        if self.may_campaign:
             self.campaign(now_s, pre_vote=True)
         else:
             self.deadline_s = now_s + JOIN_PERIOD_S
@@ -731,8 +737,7 @@
         if (
             message.term == self.term
             and message.sender == self.leader
-            and self.is_voter
-            and self.can_vote
+            and self.may_campaign
         ):
             self.campaign(now_s, pre_vote=False, transfer=True)
         else:
@@ -797,6 +802,23 @@
                 ),
             )
 
+    def start_transfer(self, now_s: float, target: MemberId) -> bool:
+        """Choose who takes over; False if no such voter answers."""
+        lead = self.replication
+        if lead is None or self.transfer_to:
+            return False
+        recent = self.caught_up(now_s) & lead.voters - {self.member}
+        candidates = [
+            (lead.peers[member].match_index, member)
+            for member in recent
+            if target in {member, NOBODY}
+        ]
+        if not candidates:
+            return False
+        self.transfer_to = max(candidates)[1]
+        self.transfer_until_s = now_s + self.timing.election_max_s
+        return True
+
     # Effects.
 
     def send(self, instance: InstanceId, message: PeerMessage) -> None:
