Count a voter as lost once its instance joins anew

Cause: a voter that had just lost its disk still counted as answering, so an evacuation could leave it as one of two voters, and the group stopped. Change: a voter whose instance has another identity no longer counts towards the majority that a change needs.

--- a/mangotrail/membership.py
+++ b/mangotrail/membership.py
@@ -45,6 +45,23 @@
     places: Mapping[InstanceId, InstancePlace]
     zones: Mapping[ZoneId, ZoneState]
 
+    @property
+    def alive(self) -> frozenset[MemberId]:
+        """Members caught up, without those whose instance lost them.
+
+        A lost identity still counts as answering shortly after its loss.
+        """
+        fresh = {
+            learner.instance: learner.member for learner in self.config.learners
+        }
+        fresh.update(self.joining)
+        lost = {
+            voter.member
+            for voter in self.config.voters
+            if fresh.get(voter.instance, voter.member) != voter.member
+        }
+        return frozenset(self.caught_up) - lost
+
     def is_in(self, member: GroupMember) -> bool:
         """Whether a member is in a zone that takes work."""
         place = self.places.get(member.instance)
@@ -60,13 +77,13 @@
             place is not None
             and place.has_disk
             and self.is_in(member)
-            and member.member in self.caught_up
+            and member.member in self.alive
         )
 
     def is_viable(self, voters: Iterable[GroupMember]) -> bool:
         """Whether a majority of the voters answers."""
         members = {voter.member for voter in voters}
-        return len(members & self.caught_up) * 2 > len(members)
+        return len(members & self.alive) * 2 > len(members)
 
 
 def check_places(places: Iterable[InstancePlace]) -> None:
@@ -132,7 +149,7 @@
     targets = [
         voter.member
         for voter in view.config.voters
-        if voter.member in view.caught_up and view.is_in(voter)
+        if voter.member in view.alive and view.is_in(voter)
     ]
     return min(targets) if leaders and targets else None
 
@@ -201,7 +218,7 @@
         if not view.is_in(voter) and voter.member != view.leader
     ]
     # Voters that do not answer first: the rest then holds a larger majority.
-    leaving.sort(key=lambda voter: voter.member in view.caught_up)
+    leaving.sort(key=lambda voter: voter.member in view.alive)
     for voter in leaving:
         config = without_voter(view, voter, keep=True)
         if config is not None:
