--- a/mangotrail/agreement.py
+++ b/mangotrail/agreement.py
@@ -678,7 +678,11 @@
         """Take in part of a snapshot."""
         if not self.hear_leader(chunk, now_s):
             return
-        if chunk.meta.index <= self.commit:
+        index = chunk.meta.index
+        if index <= self.commit or self.log.term_at(index) == chunk.meta.term:
+            # A late chunk must not drop entries that were acknowledged since.
+            self.verified = max(self.verified, index)
+            self.commit = max(self.commit, index)
             self.acknowledge()
             return
         if self.incoming is None or not self.incoming.matches(chunk):
--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -68,6 +68,10 @@
             self.entries[at] for at in sorted(self.entries) if at > base
         )
 
+    def last_index(self) -> int:
+        base = self.snapshot.meta.index if self.snapshot else 0
+        return max([base, *self.entries])
+
 
 class Node:
     """One instance: its current member, disk, clock and state machine."""
@@ -196,6 +200,7 @@
             if node.agreement and node.frozen_until_s <= self.now_s:
                 effects = node.agreement.tick(self.clock_s(node))
                 self.carry_out(node, effects)
+                self.check_acknowledged(node.agreement)
                 self.care(node)
 
         return action
@@ -321,6 +326,15 @@
         ]
         assert len(holders) < 2, f'authority of {holders}'
 
+    def check_acknowledged(self, leader: Agreement) -> None:
+        peers = leader.replication.peers if leader.replication else {}
+        for node in self.nodes.values():
+            peer = peers.get(node.member)
+            if peer and node.agreement and node.agreement.term == leader.term:
+                assert peer.match_index <= node.disk.last_index(), (
+                    'acknowledged and lost'
+                )
+
     def check_matching(self, node: Node, entries: Collection[LogEntry]) -> None:
         for entry in entries:
             before = node.agreement.log.term_at(entry.index - 1)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -1,13 +1,32 @@
 """Guards against forked, lost or forgotten log entries and double leaders."""
 
 from collections.abc import Iterator
+from zlib import crc32
 
+import msgspec
 import pytest
 from hypothesis import HealthCheck, Phase, given, settings
 from hypothesis import strategies as st
 
+from mangotrail._effects import Effects, Role, Timing
 from mangotrail._messages import ZoneState
-from mangotrail.ids import InstanceId
+from mangotrail._peer import (
+    Append,
+    AppendReply,
+    EntryKind,
+    GroupConfig,
+    GroupMember,
+    HardState,
+    Join,
+    LogEntry,
+    SnapshotChunk,
+    SnapshotMeta,
+    VoteReply,
+    VoteRequest,
+)
+from mangotrail.agreement import Agreement
+from mangotrail.errors import MembershipError, SettingsError
+from mangotrail.ids import InstanceId, MemberId
 from tests.simulation import Simulation
 
 INSTANCES = [InstanceId(f'i{number}') for number in range(5)]
@@ -113,17 +132,328 @@
 
 
 class TestGroup:
-    """A group without faults."""
+    """A group with few faults, each at a chosen moment."""
 
     def test_first_leader(self) -> None:
         """A group that needs longer than 4 s to start misses its promise."""
         group = Simulation(1)
         group.run_until(group.is_whole, 4)
 
-    def test_commands(self) -> None:
-        """A command that reaches only some members would fork the state."""
+    @pytest.mark.parametrize('seed', range(20))
+    def test_successor(self, seed: int) -> None:
+        """A crashed leader must be replaced within 4 s."""
+        group = Simulation(seed)
+        group.run_until(group.is_whole, 4)
+        group.crash(group.leader().place.instance)
+        group.run_until(lambda: group.leader() is not None, 4)
+
+    def test_group_commit(self) -> None:
+        """One message for each command would cost a sync for each."""
         group = Simulation(2)
         group.run_until(group.is_whole, 4)
+        node = group.leader()
         group.propose_burst(20)
+        effects = node.agreement.tick(group.clock_s(node))
+        appends = [
+            out.message for out in effects.messages if out.message.entries
+        ]
+        assert [len(message.entries) for message in appends] == [20] * 3
+        group.carry_out(node, effects)
         group.settle()
         assert len(group.reference) == 21
+
+    def test_return_from_partition(self) -> None:
+        """A voter that was cut off must not depose the leader."""
+        group = Simulation(3)
+        group.run_until(group.is_whole, 4)
+        leader = group.leader()
+        cut = next(node for node in group.nodes.values() if node != leader)
+        group.groups[cut.place.instance] = 1
+        group.run(10)
+        group.groups = {}
+        group.run(5)
+        assert len(group.leaders) == 1
+
+    def test_leader_cut_off(self) -> None:
+        """Authority without a majority must end before the successor's."""
+        group = Simulation(4)
+        group.run_until(group.is_whole, 4)
+        old = group.leader()
+        group.groups[old.place.instance] = 1
+        group.run(1.1)
+        assert group.leader() is None
+        group.run(3)
+        assert group.leader() not in {None, old}
+        # Callers of the old leader learn that it does not lead any more.
+        assert old.agreement.role is not Role.LEADER
+
+    def test_transfer(self) -> None:
+        """A hand-over must be faster than an election, with one authority."""
+        group = Simulation(5)
+        group.run_until(group.is_whole, 4)
+        old = group.leader()
+        group.transfer()
+        assert not old.agreement.has_authority(group.clock_s(old))
+        group.run_until(lambda: group.leader() not in {None, old}, 0.5)
+
+    def test_failed_disk(self) -> None:
+        """A member that cannot sync must neither lead nor vote."""
+        group = Simulation(6)
+        group.run_until(group.is_whole, 4)
+        old = group.leader()
+        group.fail_disk(old)
+        now_s = group.clock_s(old) + 10
+        effects = old.agreement.receive(
+            ask(to=old.member, term=99), now_s=now_s
+        )
+        assert not effects.messages
+        assert not old.agreement.tick(now_s).messages
+        group.run_until(lambda: group.leader() is not None, 4)
+
+
+VOTERS = tuple(
+    GroupMember(member=MemberId(name), instance=InstanceId(f'on-{name}'))
+    for name in 'abc'
+)
+CONFIG = GroupConfig(voters=VOTERS, learners=())
+PLACE = SnapshotMeta(index=2, term=1, config=CONFIG)
+
+
+def entry(index: int, term: int) -> LogEntry:
+    return LogEntry(
+        index=index, term=term, kind=EntryKind.COMMAND, payload=b'x'
+    )
+
+
+def member(
+    *log: LogEntry, term: int = 0, can_vote: bool = True, now_s: float = 0
+) -> Agreement:
+    """Return member a, started at a time."""
+    agreement = Agreement(
+        member=VOTERS[0].member,
+        instance=VOTERS[0].instance,
+        log=log,
+        hard_state=HardState(term=term, voted_for=MemberId('')),
+        config=CONFIG,
+        seed=1,
+        can_vote=can_vote,
+    )
+    agreement.tick(now_s)
+    return agreement
+
+
+def ask(**changes: object) -> VoteRequest:
+    """Return a vote request of member b."""
+    request = VoteRequest(
+        to=MemberId('a'),
+        sender=MemberId('b'),
+        term=5,
+        instance=InstanceId('on-b'),
+        last_index=9,
+        last_term=4,
+        pre_vote=False,
+        transfer=False,
+    )
+    return msgspec.structs.replace(request, **changes)
+
+
+def heartbeat(*entries: LogEntry, **changes: object) -> Append:
+    """Return an append of member b as leader of term 5."""
+    message = Append(
+        to=MemberId('a'),
+        sender=MemberId('b'),
+        term=5,
+        instance=InstanceId('on-b'),
+        previous_index=0,
+        previous_term=0,
+        commit=0,
+        probe_s=7,
+        entries=entries,
+    )
+    return msgspec.structs.replace(message, **changes)
+
+
+def granted(effects: Effects) -> list[bool]:
+    return [out.message.granted for out in effects.messages]
+
+
+def elect(agreement: Agreement, now_s: float) -> Effects:
+    """Let member b vote for member a until it leads."""
+    effects = agreement.tick(now_s)
+    for pre_vote in (True, False):
+        reply = VoteReply(
+            to=MemberId('a'),
+            sender=MemberId('b'),
+            term=0,
+            asked_term=agreement.term + pre_vote,
+            pre_vote=pre_vote,
+            granted=True,
+        )
+        effects = agreement.receive(reply, now_s)
+        if pre_vote:
+            effects = agreement.synced(effects.write, now_s)
+    assert effects.role is Role.LEADER
+    return effects
+
+
+def accept(agreement: Agreement, match: int, probe_s: float) -> AppendReply:
+    return AppendReply(
+        to=MemberId('a'),
+        sender=MemberId('b'),
+        term=agreement.term,
+        accepted=True,
+        previous_index=0,
+        match_index=match,
+        probe_s=probe_s,
+    )
+
+
+class TestMember:
+    """Single messages to one member."""
+
+    def test_vote_is_durable(self) -> None:
+        """A vote that a crash forgets can be given twice in a term."""
+        agreement = member()
+        effects = agreement.receive(ask(), now_s=2)
+        assert effects.hard_state == HardState(term=5, voted_for=MemberId('b'))
+        assert granted(effects) == []
+        assert granted(agreement.synced(effects.write, 2)) == [True]
+        other = ask(sender=MemberId('c'))
+        assert granted(agreement.receive(other, now_s=2)) == [False]
+
+    def test_restart(self) -> None:
+        """A restarted voter may have heard a leader just before."""
+        agreement = member(now_s=10)
+        assert granted(agreement.receive(ask(), now_s=11.1)) == [False]
+        effects = agreement.receive(ask(), now_s=11.3)
+        assert effects.hard_state
+
+    def test_heard_leader(self) -> None:
+        """A vote while a leader is heard could end two authorities apart."""
+        agreement = member()
+        agreement.receive(heartbeat(), now_s=3)
+        request = ask(term=6)
+        effects = agreement.receive(request, now_s=4.1)
+        assert agreement.term == 5
+        assert not effects.hard_state
+        moved = msgspec.structs.replace(request, transfer=True)
+        assert agreement.receive(moved, now_s=4.1).hard_state
+
+    def test_short_log(self) -> None:
+        """A candidate without the committed entries must not win."""
+        agreement = member(entry(1, 1), entry(2, 4))
+        request = ask(last_index=9, last_term=3)
+        effects = agreement.receive(request, now_s=2)
+        assert granted(agreement.synced(effects.write, 2)) == [False]
+
+    def test_no_disk(self) -> None:
+        """A vote from a member that forgets it is no vote."""
+        agreement = member(can_vote=False)
+        assert granted(agreement.receive(ask(), now_s=2)) == [False]
+        for now_s in range(3, 30):
+            assert agreement.tick(now_s).role is Role.FOLLOWER
+
+    def test_unsynced_entries(self) -> None:
+        """Entries count only once synced, and not if replaced meanwhile."""
+        agreement = member(term=5)
+        first = agreement.receive(heartbeat(entry(1, 5), entry(2, 5)), 1)
+        assert first.messages[0].message.match_index == 0
+        newer = heartbeat(entry(1, 6), term=6, sender=MemberId('c'))
+        second = agreement.receive(newer, 1)
+        late = agreement.synced(first.write, 1)
+        assert all(out.message.match_index == 0 for out in late.messages)
+        done = agreement.synced(second.write, 1)
+        assert done.messages[-1].message.match_index == 1
+
+    def test_late_chunk(self) -> None:
+        """A late snapshot must not drop acknowledged entries."""
+        agreement = member(entry(1, 1), entry(2, 1), entry(3, 1), term=5)
+        chunk = SnapshotChunk(
+            to=MemberId('a'),
+            sender=MemberId('b'),
+            term=5,
+            instance=InstanceId('on-b'),
+            meta=PLACE,
+            offset=0,
+            total=1,
+            checksum=crc32(b's'),
+            body=b's',
+            probe_s=1,
+        )
+        effects = agreement.receive(chunk, 1)
+        assert effects.install is None
+        assert agreement.log.last_index == 3
+        damaged = msgspec.structs.replace(
+            chunk,
+            meta=msgspec.structs.replace(PLACE, index=7, term=2),
+            body=b't',
+        )
+        assert agreement.receive(damaged, 1).install is None
+        assert agreement.counters['damaged_snapshot'] == 1
+
+    def test_earlier_term(self) -> None:
+        """An entry of an earlier term on a majority can still be replaced."""
+        agreement = member(entry(1, 1), entry(2, 2), term=3)
+        effects = elect(agreement, now_s=2)
+        assert not agreement.receive(accept(agreement, 2, 2), 2).committed
+        agreement.synced(effects.write, 2)
+        effects = agreement.receive(accept(agreement, 3, 2), 2)
+        assert [held.index for held in effects.committed] == [1, 2, 3]
+
+    def test_authority(self) -> None:
+        """Authority counts from the sending of what was acknowledged."""
+        agreement = member(entry(1, 1), term=3)
+        effects = elect(agreement, now_s=2)
+        agreement.receive(accept(agreement, 1, 2), 2.1)
+        assert not agreement.has_authority(2.1), 'state may be behind'
+        agreement.synced(effects.write, 2.1)
+        agreement.receive(accept(agreement, 2, 2), 2.9)
+        assert agreement.has_authority(2.9)
+        assert not agreement.has_authority(3.1), 'sent 1.1 s ago'
+
+    def test_unsafe_configs(self) -> None:
+        """Changes that could split or stop the group are refused."""
+        agreement = member(entry(1, 1), term=3)
+        effects = elect(agreement, now_s=2)
+        new = GroupMember(member=MemberId('d'), instance=InstanceId('on-d'))
+        learner = GroupConfig(voters=VOTERS, learners=(new,))
+        with pytest.raises(MembershipError, match='of the term'):
+            agreement.propose_config(learner, 2)
+        agreement.synced(effects.write, 2)
+        agreement.receive(accept(agreement, 2, 2), 2)
+        for voters, reason in (
+            (VOTERS[1:], 'hand over'),
+            (VOTERS[:1], 'one voter'),
+            ((*VOTERS, new), 'caught up'),
+            ((VOTERS[0], VOTERS[2]), 'majority'),
+        ):
+            wanted = GroupConfig(voters=voters, learners=())
+            with pytest.raises(MembershipError, match=reason):
+                agreement.propose_config(wanted, 2)
+        agreement.propose_config(learner, 2)
+        with pytest.raises(MembershipError, match='not committed'):
+            agreement.propose_config(CONFIG, 2)
+
+    def test_strange_messages(self) -> None:
+        """Misdirected, outdated and broken messages are only counted."""
+        agreement = member(term=5)
+        for message in (
+            heartbeat(to=MemberId('z')),
+            heartbeat(sender=MemberId('a')),
+            heartbeat(entry(5, 5)),
+            heartbeat(term=2),
+            accept(agreement, 9, 9),
+            Join(
+                to=MemberId(''),
+                sender=MemberId('z'),
+                term=0,
+                instance=InstanceId('on-z'),
+            ),
+        ):
+            assert not agreement.receive(message, 2).entries
+        assert agreement.counters.total() == 5
+
+    def test_timing(self) -> None:
+        """Authority longer than the refusal of votes allows two leaders."""
+        with pytest.raises(SettingsError):
+            Timing(authority_s=1.15)
