--- a/mangotrail/_peer.py
+++ b/mangotrail/_peer.py
@@ -101,7 +101,14 @@
     """
 
     meta: SnapshotMeta
-    first_segment: Annotated[int, Meta(ge=0)]
+    first_segment: Annotated[
+        int,
+        Meta(description='Oldest segment of the journal that is in use.', ge=0),
+    ]
+    last_segment: Annotated[
+        int,
+        Meta(description='Newest segment when the snapshot was written.', ge=0),
+    ]
     total: Annotated[int, Meta(ge=0)]
     checksum: Annotated[int, Meta(ge=0)]
 
--- a/mangotrail/journal.py
+++ b/mangotrail/journal.py
@@ -295,8 +295,11 @@
         for expected, segment in enumerate(found, first):
             if segment != expected:
                 raise self.damaged(self.segment_path(expected), 0)
-        if self.snapshot_header and not found:
-            raise self.damaged(self.segment_path(first), 0)
+        if self.snapshot_header and found[-1:] < [
+            self.snapshot_header.last_segment
+        ]:
+            missing = first + len(found)
+            raise self.damaged(self.segment_path(missing), 0)
         entries: dict[int, LogEntry] = {}
         base = snapshot.meta.index if snapshot else 0
         cut_bytes = 0
@@ -448,6 +451,7 @@
         header = SnapshotHeader(
             meta=snapshot.meta,
             first_segment=first,
+            last_segment=self.segment + 1,
             total=len(snapshot.body),
             checksum=crc32(snapshot.body),
         )
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,7 +1,10 @@
 """Guards against acknowledged records that a restart forgets."""
 
+import os
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
+import msgspec
 import pytest
 
 from mangotrail._effects import Snapshot
@@ -9,14 +12,21 @@
     EntryKind,
     GroupConfig,
     HardState,
+    Identity,
     LogEntry,
     SnapshotMeta,
 )
-from mangotrail.ids import MemberId
-from mangotrail.journal import FileJournal, Recovered
+from mangotrail.errors import DamagedJournalError, SettingsError, StorageError
+from mangotrail.ids import InstanceId, MemberId
+from mangotrail.journal import (
+    FileJournal,
+    Recovered,
+    open_identity,
+    write_identity,
+)
 
 VOTE = HardState(term=3, voted_for=MemberId('a'))
-CONFIG = GroupConfig(voters=(), learners=())
+CONFIG = GroupConfig(voters=[], learners=[])
 
 
 def entries(first: int, last: int, term: int = 1) -> list[LogEntry]:
@@ -33,45 +43,306 @@
 
 def snapshot(index: int) -> Snapshot:
     meta = SnapshotMeta(index=index, term=1, config=CONFIG)
-    return Snapshot(meta=meta, body=b'state' * 100)
+    return Snapshot(meta=meta, body=b'state at %d' % index)
+
+
+def recovered(
+    index: int, held: Iterable[LogEntry], hard_state: HardState = VOTE
+) -> Recovered:
+    return Recovered(
+        snapshot=snapshot(index) if index else None,
+        hard_state=hard_state,
+        entries=tuple(held),
+    )
 
 
 def reopen(folder: Path) -> Recovered:
     journal = FileJournal(folder)
     try:
-        return journal.load()
+        found = journal.load()
     finally:
         journal.close()
+    return msgspec.structs.replace(found, cut_bytes=0)
+
+
+def write(journal: FileJournal, *records: LogEntry) -> None:
+    journal.append(records)
+    journal.sync()
+
+
+def start(journal: FileJournal) -> None:
+    journal.append(entries(1, 2), VOTE)
+    journal.sync()
+
+
+# Each operation with what must be durable after it.
+OPERATIONS: tuple[tuple[Callable[[FileJournal], None], Recovered], ...] = (
+    (start, recovered(0, entries(1, 2))),
+    (
+        lambda journal: write(journal, *entries(3, 4)),
+        recovered(0, entries(1, 4)),
+    ),
+    (
+        lambda journal: write(journal, *entries(4, 5, term=2)),
+        recovered(0, [*entries(1, 3), *entries(4, 5, term=2)]),
+    ),
+    (
+        lambda journal: journal.compact(snapshot(4)),
+        recovered(4, entries(5, 5, term=2)),
+    ),
+    (
+        lambda journal: write(journal, *entries(6, 7, term=2)),
+        recovered(4, entries(5, 7, term=2)),
+    ),
+    (lambda journal: journal.compact(snapshot(7)), recovered(7, [])),
+    (
+        lambda journal: write(journal, *entries(8, 9, term=2)),
+        recovered(7, entries(8, 9, term=2)),
+    ),
+    (lambda journal: journal.install(snapshot(8)), recovered(8, [])),
+    (
+        lambda journal: write(journal, *entries(9, 9, term=4)),
+        recovered(8, entries(9, 9, term=4)),
+    ),
+)
 
 
 @pytest.fixture
 def folder(tmp_path: Path) -> Path:
-    """Return a data folder with entries 1 to 4 and a vote, all synced."""
-    journal = FileJournal(tmp_path)
+    """Return a data folder with a snapshot, a vote and entries."""
+    folder = tmp_path / 'data'
+    journal = FileJournal(folder)
     journal.load()
-    journal.append(entries(1, 2), VOTE)
-    journal.sync()
-    journal.append(entries(3, 4))
-    journal.sync()
+    for operation, _ in OPERATIONS[:5]:
+        operation(journal)
     journal.close()
-    return tmp_path
+    return folder
+
+
+class LosingDisk:
+    """Copy of a folder as it would be after a loss of power.
+
+    Holds the content of each file at its last sync and the names at the last
+    sync of the folder; fails at a chosen sync.
+    """
+
+    def __init__(self, fail_at: int) -> None:
+        self.left = fail_at
+        self.names: dict[str, int] = {}
+        self.contents: dict[int, bytes] = {}
+        self.fsync = os.fsync
+
+    def sync(self, handle: int) -> None:
+        self.left -= 1
+        if self.left < 0:
+            raise OSError('power lost')
+        path = Path(os.readlink(f'/proc/self/fd/{handle}'))
+        if path.is_dir():
+            self.names = {
+                file.name: file.stat().st_ino for file in path.iterdir()
+            }
+        else:
+            self.contents[path.stat().st_ino] = path.read_bytes()
+        self.fsync(handle)
+
+    def restore(self, folder: Path) -> None:
+        folder.mkdir()
+        for name, inode in self.names.items():
+            (folder / name).write_bytes(self.contents.get(inode, b''))
 
 
 class TestFileJournal:
     """Records in files."""
 
-    def test_recovery(self, folder: Path) -> None:
-        """A vote or entry that is forgotten allows a second leader."""
-        found = reopen(folder)
-        assert found.entries == tuple(entries(1, 4))
-        assert found.hard_state == VOTE
+    def test_power_loss(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Each operation is durable when it returns, whole or not at all."""
+        blank = Recovered()
+        for fail_at in range(1, 100):
+            disk = LosingDisk(fail_at)
+            allowed = [blank]
+            with monkeypatch.context() as patch:
+                patch.setattr(os, 'fsync', disk.sync)
+                journal = FileJournal(tmp_path / f'a{fail_at}')
+                try:
+                    journal.load()
+                    for operation, after in OPERATIONS:
+                        allowed.append(after)
+                        operation(journal)
+                        allowed = [after]
+                except StorageError:
+                    with pytest.raises(StorageError, match='failed before'):
+                        journal.append(entries(1, 1))
+                journal.close()
+            disk.restore(tmp_path / f'b{fail_at}')
+            assert reopen(tmp_path / f'b{fail_at}') in allowed
+            if disk.left > 0:
+                return
+        pytest.fail('the operations never came to an end')
+
+    def test_damage(self, folder: Path) -> None:
+        """A flipped bit is an error or harmless, never a silent loss."""
+        whole = OPERATIONS[4][1]
+        errors = 0
+        for path in sorted(folder.iterdir()):
+            data = path.read_bytes()
+            for offset in range(len(data)):
+                broken = bytearray(data)
+                broken[offset] ^= 1 << offset % 8
+                path.write_bytes(broken)
+                try:
+                    assert reopen(folder) == whole, (path.name, offset)
+                except DamagedJournalError as error:
+                    errors += 1
+                    assert path.name in error.message
+                    assert error.value.isdigit()
+                    assert error.remedy
+                path.write_bytes(data)
+        assert errors > 300
+
+    def test_torn_tail(self, folder: Path) -> None:
+        """A write that was cut short is dropped, all before it is kept."""
+        path = max(folder.glob('journal-*'))
+        data = path.read_bytes()
+        lengths = set()
+        for length in range(len(data)):
+            path.write_bytes(data[:length])
+            journal = FileJournal(folder)
+            found = journal.load()
+            held = found.entries
+            assert held == tuple(entries(5, 7, term=2)[: len(held)])
+            lengths.add(len(held))
+            following = entries(5 + len(held), 8, term=2)
+            write(journal, *following)
+            journal.close()
+            assert reopen(folder).entries == (*held, *following)
+        assert lengths == {1, 3}
+
+    def test_unmarked_tail(self, folder: Path) -> None:
+        """A frame whose sync failed is in the page cache only."""
+        path = max(folder.glob('journal-*'))
+        data = path.read_bytes()
+        path.write_bytes(data[:-28])
+        synced = []
+        fsync = os.fsync
 
-    def test_replaced_entries(self, folder: Path) -> None:
-        """Entries that were replaced must not come back."""
+        def sync(handle: int) -> None:
+            synced.append(os.fstat(handle).st_size)
+            fsync(handle)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(os, 'fsync', sync)
+            patch.setattr(os, 'ftruncate', record_truncation(synced))
+            assert reopen(folder) == OPERATIONS[4][1]
+        assert synced[0] < len(data) - 28
+        assert path.read_bytes() == data
+
+    @pytest.mark.parametrize('call', ['pwrite', 'fsync'])
+    def test_failed_write(
+        self, folder: Path, monkeypatch: pytest.MonkeyPatch, call: str
+    ) -> None:
+        """After a failed write nothing may be reported as durable."""
+        journal = FileJournal(folder)
+        journal.load()
+        journal.append(entries(8, 8, term=2))
+        with monkeypatch.context() as patch:
+            patch.setattr(os, call, fail)
+            with pytest.raises(StorageError, match='No space'):
+                journal.sync()
+        for again in (journal.sync, lambda: journal.compact(snapshot(6))):
+            with pytest.raises(StorageError, match='failed before'):
+                again()
+        journal.close()
+        assert reopen(folder).entries[:3] == tuple(entries(5, 7, term=2))
+
+    def test_missing_files(self, folder: Path) -> None:
+        """A lost segment must not look like a short log."""
+        for path in folder.glob('journal-*'):
+            data = path.read_bytes()
+            path.unlink()
+            with pytest.raises(DamagedJournalError):
+                reopen(folder)
+            path.write_bytes(data)
+
+    def test_space(self, folder: Path) -> None:
+        """Segments that a snapshot covers must not fill the disk."""
         journal = FileJournal(folder)
         journal.load()
-        journal.append(entries(2, 3, term=2))
-        journal.sync()
+        for index in range(8, 30):
+            write(journal, *entries(index, index, term=2))
+            journal.compact(snapshot(index))
         journal.close()
-        wanted = (*entries(1, 1), *entries(2, 3, term=2))
-        assert reopen(folder).entries == wanted
+        assert len(list(folder.glob('journal-*'))) == 1
+        assert reopen(folder).snapshot == snapshot(29)
+
+    def test_two_processes(self, folder: Path) -> None:
+        """Two processes on one folder would mix their records."""
+        journal = FileJournal(folder)
+        with pytest.raises(StorageError):
+            FileJournal(folder)
+        journal.close()
+
+    def test_chunks(self, folder: Path) -> None:
+        """A chunk of another snapshot must not complete a transfer."""
+        journal = FileJournal(folder)
+        journal.load()
+        part = journal.read_snapshot(4, 6, 2)
+        body = snapshot(4).body
+        assert part
+        assert (part.body, part.total) == (body[6:8], len(body))
+        assert journal.read_snapshot(4, 9, 99).body == body[9:]
+        assert journal.read_snapshot(3, 0, 9) is None
+        journal.close()
+
+
+def record_truncation(log: list[int]) -> Callable[[int, int], None]:
+    truncate = os.ftruncate
+
+    def call(handle: int, length: int) -> None:
+        log.append(length)
+        truncate(handle, length)
+
+    return call
+
+
+def fail(*_: object) -> None:
+    raise OSError(28, 'No space left on device')
+
+
+class TestIdentity:
+    """The identity file."""
+
+    def test_fresh(self, tmp_path: Path) -> None:
+        """An id that changes or repeats would vote for someone else."""
+        found = [
+            open_identity(
+                tmp_path / name, deployment='d', instance=InstanceId('i')
+            )
+            for name in ('a', 'a', 'b')
+        ]
+        assert found[0] == found[1]
+        assert found[0].member != found[2].member
+        with pytest.raises(SettingsError):
+            open_identity(
+                tmp_path / 'a', deployment='e', instance=InstanceId('i')
+            )
+
+    def test_written_once(self, folder: Path) -> None:
+        """A second identity, or one for an old journal, forgets its votes."""
+        identity = Identity(
+            format_version=1,
+            deployment='d',
+            instance=InstanceId('i'),
+            member=MemberId('m'),
+            founding=True,
+        )
+        with pytest.raises(DamagedJournalError):
+            write_identity(folder, identity)
+        empty = folder / 'empty'
+        write_identity(empty, identity)
+        with pytest.raises(SettingsError):
+            write_identity(empty, identity)
+        (empty / 'identity.json').write_text('{')
+        with pytest.raises(DamagedJournalError):
+            open_identity(empty, deployment='d', instance=InstanceId('i'))
