Test durable own votes, replaced entries and conflicting tails

Cause: trials with single mechanisms switched off showed that no test failed without the durability of the leader's own vote and entries, the tracking of replaced entries, the end of a failed transfer, or the probing of a conflicting tail. Change: one short test for each; random plans also cut single links.

--- a/tests/simulation.py
+++ b/tests/simulation.py
@@ -145,6 +145,7 @@
         self.latency_s = 0.01
         self.sync_s = 0.01
         self.groups: dict[InstanceId, int] = {}
+        self.links: set[frozenset[InstanceId]] = set()
         self.leaders: dict[int, MemberId] = {}
         self.seen: dict[tuple[int, int], tuple[LogEntry, int]] = {}
         # The reference: one list, in the order of the first commit.
@@ -303,6 +304,8 @@
         node = self.nodes[target]
         if self.groups.get(source, 0) != self.groups.get(target, 0):
             return
+        if frozenset([source, target]) in self.links:
+            return
         if node.agreement is None:
             return
 
@@ -439,6 +442,7 @@
         self.loss = self.copies = 0
         self.latency_s = self.sync_s = 0.01
         self.groups = {}
+        self.links = set()
         self.zones = dict.fromkeys(self.zones, ZoneState.IN)
         for instance, node in self.nodes.items():
             node.frozen_until_s = min(node.frozen_until_s, self.now_s)
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -36,6 +36,7 @@
     'lose_disk',
     'freeze',
     'cut',
+    'cut_link',
     'heal',
     'lossy',
     'slow',
@@ -73,8 +74,12 @@
             node.frozen_until_s = group.now_s + 0.7 * (1 + number)
         case 'cut':
             group.groups[instance] = number + 1
+        case 'cut_link':
+            leader = group.leader() or node
+            group.links.add(frozenset([instance, leader.place.instance]))
         case 'heal':
             group.groups = {}
+            group.links = set()
         case 'lossy':
             group.loss, group.copies = 0.1 * number, 0.1
         case 'slow':
@@ -196,6 +201,31 @@
         assert not old.agreement.has_authority(group.clock_s(old))
         group.run_until(lambda: group.leader() not in {None, old}, 0.5)
 
+    def test_failed_transfer(self) -> None:
+        """A hand-over to a dead voter must not leave a leader for show."""
+        group = Simulation(5)
+        group.run_until(group.is_whole, 4)
+        old = group.leader()
+        group.transfer()
+        group.crash(InstanceId(old.agreement.transfer_to[-2:]))
+        group.run_until(lambda: group.leader() is not None, 6)
+
+    def test_conflicting_tail(self) -> None:
+        """A long tail that was never committed must be replaced."""
+        group = Simulation(7)
+        group.run_until(group.is_whole, 4)
+        old = group.leader()
+        group.groups[old.place.instance] = 1
+        for _ in range(8):
+            old.agreement.propose(b'lost', group.clock_s(old))
+        group.run_until(lambda: group.leader() not in {None, old}, 5)
+        group.propose_burst(12)
+        group.run(1)
+        group.transfer()
+        group.run(1)
+        group.settle()
+        assert b'lost' not in group.reference
+
     def test_failed_disk(self) -> None:
         """A member that cannot sync must neither lead nor vote."""
         group = Simulation(6)
@@ -226,7 +256,11 @@
 
 
 def member(
-    *log: LogEntry, term: int = 0, can_vote: bool = True, now_s: float = 0
+    *log: LogEntry,
+    term: int = 0,
+    can_vote: bool = True,
+    now_s: float = 0,
+    config: GroupConfig = CONFIG,
 ) -> Agreement:
     """Return member a, started at a time."""
     agreement = Agreement(
@@ -234,7 +268,7 @@
         instance=VOTERS[0].instance,
         log=log,
         hard_state=HardState(term=term, voted_for=MemberId('')),
-        config=CONFIG,
+        config=config,
         seed=1,
         can_vote=can_vote,
     )
@@ -277,6 +311,10 @@
     return [out.message.granted for out in effects.messages]
 
 
+def matches(effects: Effects) -> list[int]:
+    return [out.message.match_index for out in effects.messages]
+
+
 def elect(agreement: Agreement, now_s: float) -> Effects:
     """Let member b vote for member a until it leads."""
     effects = agreement.tick(now_s)
@@ -353,17 +391,37 @@
         for now_s in range(3, 30):
             assert agreement.tick(now_s).role is Role.FOLLOWER
 
+    def test_single_voter(self) -> None:
+        """Also the own vote and the own entries count only once durable."""
+        agreement = member(config=GroupConfig(voters=VOTERS[:1], learners=()))
+        effects = agreement.tick(2)
+        assert effects.role is Role.CANDIDATE
+        effects = agreement.synced(effects.write, 2)
+        assert effects.role is Role.LEADER
+        assert not effects.committed
+        assert agreement.synced(effects.write, 2).committed
+
     def test_unsynced_entries(self) -> None:
         """Entries count only once synced, and not if replaced meanwhile."""
         agreement = member(term=5)
         first = agreement.receive(heartbeat(entry(1, 5), entry(2, 5)), 1)
-        assert first.messages[0].message.match_index == 0
-        newer = heartbeat(entry(1, 6), term=6, sender=MemberId('c'))
+        assert matches(first) == [0]
+        newer = heartbeat(term=6, sender=MemberId('c'))
         second = agreement.receive(newer, 1)
-        late = agreement.synced(first.write, 1)
-        assert all(out.message.match_index == 0 for out in late.messages)
-        done = agreement.synced(second.write, 1)
-        assert done.messages[-1].message.match_index == 1
+        newer = msgspec.structs.replace(newer, entries=[entry(1, 6)])
+        third = agreement.receive(newer, 1)
+        assert set(matches(agreement.synced(second.write, 1))) == {0}
+        assert matches(agreement.synced(third.write, 1)) == [1]
+
+    def test_replaced_entries(self) -> None:
+        """Entries in place of durable ones are not durable yet."""
+        agreement = member(entry(1, 1), entry(2, 1), entry(3, 1), term=5)
+        newer = heartbeat(
+            entry(2, 5), entry(3, 5), previous_index=1, previous_term=1
+        )
+        effects = agreement.receive(newer, 1)
+        assert matches(effects) == [1]
+        assert matches(agreement.synced(effects.write, 1)) == [3]
 
     def test_late_chunk(self) -> None:
         """A late snapshot must not drop acknowledged entries."""
@@ -396,8 +454,8 @@
         agreement = member(entry(1, 1), entry(2, 2), term=3)
         effects = elect(agreement, now_s=2)
         assert not agreement.receive(accept(agreement, 2, 2), 2).committed
-        agreement.synced(effects.write, 2)
-        effects = agreement.receive(accept(agreement, 3, 2), 2)
+        assert not agreement.receive(accept(agreement, 3, 2), 2).committed
+        effects = agreement.synced(effects.write, 2)
         assert [held.index for held in effects.committed] == [1, 2, 3]
 
     def test_authority(self) -> None:
