--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -166,6 +166,10 @@
         group.carry_out(node, effects)
         group.settle()
         assert len(group.reference) == 21
+        # The log does not grow for ever.
+        assert all(
+            node.agreement.log.base_index for node in group.nodes.values()
+        )
 
     def test_return_from_partition(self) -> None:
         """A voter that was cut off must not depose the leader."""
@@ -200,6 +204,11 @@
         group.transfer()
         assert not old.agreement.has_authority(group.clock_s(old))
         group.run_until(lambda: group.leader() not in {None, old}, 0.5)
+        new = group.leader()
+        group.propose_burst(1)
+        group.transfer()
+        assert new.agreement.has_authority(group.clock_s(new)), 'too early'
+        group.run_until(lambda: group.leader() not in {None, new}, 0.5)
 
     def test_failed_transfer(self) -> None:
         """A hand-over to a dead voter must not leave a leader for show."""
@@ -208,6 +217,7 @@
         old = group.leader()
         group.transfer()
         group.crash(InstanceId(old.agreement.transfer_to[-2:]))
+        group.run_until(lambda: group.leader() is None, 1)
         group.run_until(lambda: group.leader() is not None, 6)
 
     def test_conflicting_tail(self) -> None:
@@ -233,10 +243,13 @@
         old = group.leader()
         group.fail_disk(old)
         now_s = group.clock_s(old) + 10
-        effects = old.agreement.receive(
-            ask(to=old.member, term=99), now_s=now_s
-        )
-        assert not effects.messages
+        for message in (
+            heartbeat(to=old.member, term=99),
+            ask(to=old.member, term=100),
+        ):
+            effects = old.agreement.receive(message, now_s)
+            assert not effects.messages
+            assert effects.role is Role.STOPPED
         assert not old.agreement.tick(now_s).messages
         group.run_until(lambda: group.leader() is not None, 4)
 
@@ -416,12 +429,41 @@
     def test_replaced_entries(self) -> None:
         """Entries in place of durable ones are not durable yet."""
         agreement = member(entry(1, 1), entry(2, 1), entry(3, 1), term=5)
+        older = heartbeat(previous_index=3, previous_term=1)
+        assert matches(agreement.receive(older, 1)) == [3]
         newer = heartbeat(
-            entry(2, 5), entry(3, 5), previous_index=1, previous_term=1
+            entry(2, 6), term=6, previous_index=1, previous_term=1
         )
+        empty = msgspec.structs.replace(newer, entries=[])
+        effects = agreement.receive(empty, 1)
+        assert matches(agreement.synced(effects.write, 1)) == [1]
         effects = agreement.receive(newer, 1)
         assert matches(effects) == [1]
-        assert matches(agreement.synced(effects.write, 1)) == [3]
+        assert matches(agreement.synced(effects.write, 1)) == [2]
+
+    def test_uncommitted_removal(self) -> None:
+        """A removed voter with the longest log may be the only one to win."""
+        configs = (VOTERS, VOTERS[1:])
+        log = [
+            LogEntry(
+                index=index,
+                term=1,
+                kind=EntryKind.CONFIG,
+                payload=msgspec.msgpack.encode(
+                    GroupConfig(voters=voters, learners=())
+                ),
+            )
+            for index, voters in enumerate(configs, 1)
+        ]
+        agreement = member(*log, term=5)
+        assert agreement.tick(3).role is Role.CANDIDATE
+        replaced = heartbeat(entry(2, 5), previous_index=1, previous_term=1)
+        other = member(*log, term=5)
+        other.receive(replaced, 3)
+        assert other.is_voter
+        committed = heartbeat(previous_index=2, previous_term=1, commit=2)
+        agreement.receive(committed, 3)
+        assert agreement.tick(20).role is Role.FOLLOWER
 
     def test_late_chunk(self) -> None:
         """A late snapshot must not drop acknowledged entries."""
