--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,6 +8,7 @@
 import pytest
 
 from mangotrail._effects import Snapshot
+from mangotrail._frames import HEADER_BYTES, encode_frame
 from mangotrail._peer import (
     EntryKind,
     GroupConfig,
@@ -79,8 +80,8 @@
 OPERATIONS: tuple[tuple[Callable[[FileJournal], None], Recovered], ...] = (
     (start, recovered(0, entries(1, 2))),
     (
-        lambda journal: write(journal, *entries(3, 4)),
-        recovered(0, entries(1, 4)),
+        lambda journal: write(journal, *entries(3, 6)),
+        recovered(0, entries(1, 6)),
     ),
     (
         lambda journal: write(journal, *entries(4, 5, term=2)),
@@ -123,7 +124,7 @@
     """Copy of a folder as it would be after a loss of power.
 
     Holds the content of each file at its last sync and the names at the last
-    sync of the folder; fails at a chosen sync.
+    sync of the folder; fails at a chosen write or sync.
     """
 
     def __init__(self, fail_at: int) -> None:
@@ -131,11 +132,20 @@
         self.names: dict[str, int] = {}
         self.contents: dict[int, bytes] = {}
         self.fsync = os.fsync
+        self.written = os.write
 
-    def sync(self, handle: int) -> None:
+    def count(self) -> None:
         self.left -= 1
         if self.left < 0:
             raise OSError('power lost')
+
+    def write(self, handle: int, data: bytes) -> int:
+        self.written(handle, data[: len(data) // 2])
+        self.count()
+        return len(data) // 2 + self.written(handle, data[len(data) // 2 :])
+
+    def sync(self, handle: int) -> None:
+        self.count()
         path = Path(os.readlink(f'/proc/self/fd/{handle}'))
         if path.is_dir():
             self.names = {
@@ -164,6 +174,7 @@
             allowed = [blank]
             with monkeypatch.context() as patch:
                 patch.setattr(os, 'fsync', disk.sync)
+                patch.setattr(os, 'write', disk.write)
                 journal = FileJournal(tmp_path / f'a{fail_at}')
                 try:
                     journal.load()
@@ -176,7 +187,9 @@
                         journal.append(entries(1, 1))
                 journal.close()
             disk.restore(tmp_path / f'b{fail_at}')
+            # Loss of power, then the crash of the process alone.
             assert reopen(tmp_path / f'b{fail_at}') in allowed
+            assert reopen(tmp_path / f'a{fail_at}') in allowed
             if disk.left > 0:
                 return
         pytest.fail('the operations never came to an end')
@@ -219,11 +232,25 @@
             assert reopen(folder).entries == (*held, *following)
         assert lengths == {1, 3}
 
+    def test_torn_payload(self, folder: Path) -> None:
+        """A payload that looks like a frame does not prove damage."""
+        path = max(folder.glob('journal-*'))
+        data = path.read_bytes()
+        segment = int(path.name[-10:])
+        place = len(data) + HEADER_BYTES
+        forged = encode_frame(segment, place, b'')[:-4]
+        copied = encode_frame(segment, 0, b'')
+        payload = b'none'.join([forged, copied, b'end'])
+        torn = encode_frame(segment, len(data), payload)
+        path.write_bytes(b''.join([data, torn[:-1]]))
+        assert reopen(folder) == OPERATIONS[4][1]
+        assert path.read_bytes() == data
+
     def test_unmarked_tail(self, folder: Path) -> None:
         """A frame whose sync failed is in the page cache only."""
         path = max(folder.glob('journal-*'))
         data = path.read_bytes()
-        path.write_bytes(data[:-28])
+        path.write_bytes(data[:-HEADER_BYTES])
         synced = []
         fsync = os.fsync
 
@@ -235,7 +262,7 @@
             patch.setattr(os, 'fsync', sync)
             patch.setattr(os, 'ftruncate', record_truncation(synced))
             assert reopen(folder) == OPERATIONS[4][1]
-        assert synced[0] < len(data) - 28
+        assert synced[0] < len(data) - HEADER_BYTES
         assert path.read_bytes() == data
 
     @pytest.mark.parametrize('call', ['pwrite', 'fsync'])
@@ -256,15 +283,33 @@
         journal.close()
         assert reopen(folder).entries[:3] == tuple(entries(5, 7, term=2))
 
-    def test_missing_files(self, folder: Path) -> None:
+    def test_missing_files(self, tmp_path: Path) -> None:
         """A lost segment must not look like a short log."""
-        for path in folder.glob('journal-*'):
+        journal = FileJournal(tmp_path)
+        journal.load()
+        for index in range(1, 4):
+            write(journal, *entries(index, 4))
+            journal.compact(snapshot(index))
+        journal.close()
+        segments = list(tmp_path.glob('journal-*'))
+        assert len(segments) == 4
+        for path in segments:
             data = path.read_bytes()
             path.unlink()
             with pytest.raises(DamagedJournalError):
-                reopen(folder)
+                reopen(tmp_path)
             path.write_bytes(data)
 
+    def test_gap(self, tmp_path: Path) -> None:
+        """A log with a gap would apply entries in the wrong state."""
+        journal = FileJournal(tmp_path)
+        journal.load()
+        write(journal, *entries(1, 2))
+        write(journal, *entries(4, 4))
+        journal.close()
+        with pytest.raises(DamagedJournalError):
+            reopen(tmp_path)
+
     def test_space(self, folder: Path) -> None:
         """Segments that a snapshot covers must not fill the disk."""
         journal = FileJournal(folder)
