Spread the review of the queues over calls of handle

Change: a review looks at 64 jobs or zones a call and goes on in the next one; urgent jobs are tried at once; homes are moved at most once a second.

--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -204,7 +204,7 @@
         self._adopt(homes)
         self.planned_at = self.freed
 
-    def make_room(self, job: Job, spots: Iterable[Spot]) -> bool:
+    def make_room(self, job: Job, spots: Iterable[Spot], keep: Keep) -> bool:
         """Move homes of other accounts away from spots.
 
         :returns: whether every cell that had a home still has one; otherwise
@@ -220,15 +220,14 @@
             for owner, spot in self._claimed_spots()
             if owner.pinned
         ]
-        for keep in (Keep.ALL, Keep.USED):
-            homes = self.guarantees.propose(
-                self.topology, self.bundle.accounts, keep=keep, avoid=avoid
-            )
-            lost = sum(not home for _, home in homes)
-            if lost <= len(self.guarantees.suspended):
-                self._adopt(homes)
-                return True
-        return False
+        homes = self.guarantees.propose(
+            self.topology, self.bundle.accounts, keep=keep, avoid=avoid
+        )
+        lost = sum(not home for _, home in homes)
+        if lost > len(self.guarantees.suspended):
+            return False
+        self._adopt(homes)
+        return True
 
     def _claimed_spots(self) -> Iterator[tuple[Job, Spot]]:
         for job_id, pending in self.claims.items():
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -1,6 +1,6 @@
 """Starts queued jobs."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from typing import NamedTuple, TypeVar
 
 from mangotrail._blocks import bits_of
@@ -10,6 +10,7 @@
 from mangotrail._preemption import claim, is_broken, is_ready, reclaim
 from mangotrail._reservation import Reservation, reservations
 from mangotrail.events import Place
+from mangotrail.guarantees import Keep
 from mangotrail.placement import (
     Reach,
     Want,
@@ -19,9 +20,9 @@
 )
 from mangotrail.topology import Spot, Zone
 
-# Searches of one zone in one call of handle(); the rest waits for the next call,
-# which bounds the decision time.
-MAX_SEARCHES = 64
+# Jobs looked at and zones searched in one call of handle(); the rest waits for
+# the next call, which bounds the decision time.
+MAX_TRIES = 64
 # Failed searches that are remembered.
 MAX_FAILED = 10000
 # A head of the queue that waited this long reserves capacity. Reserving at
@@ -29,8 +30,8 @@
 RESERVE_AFTER_S = 60.0
 # Each reservation keeps capacity idle until it is complete.
 MAX_RESERVATIONS = 4
-# Choices from which homes are moved away in one call of handle().
-MAX_MOVES = 2
+# Moving homes takes several milliseconds at the design size.
+MOVE_INTERVAL_S = 1.0
 # The queues are gone through again this often even if nothing changed,
 # because jobs become old enough to reserve capacity.
 REVIEW_S = 10.0
@@ -49,43 +50,50 @@
 
     def __init__(self, core: Core) -> None:
         self.core = core
-        self.searches = 0
+        self.tries = 0
         # Searches that failed, and the state of the zone at that time.
         self.failed: dict[tuple[object, ...], int] = {}
         self.reviewed_at = -1
-        self.unfinished = False
-        # Moving homes is slow, so it is tried once in a call of handle().
-        self.moved = False
+        # Time from which homes may be moved again.
+        self.move_s = float('-inf')
+        # Jobs still to be looked at, None if all were.
+        self.review: Iterator[Job] | None = None
         self.reviewed_s = float('-inf')
 
     def run(self) -> None:
-        """Place every queued job that fits, best rank first."""
+        """Place queued jobs that fit, best rank first."""
         core = self.core
-        self.searches = 0
-        self.moved = False
+        self.tries = 0
         if core.topology is None:
             return
         self._serve_claims()
-        changed = self.reviewed_at != core.freed or self.unfinished
-        if changed or core.now_s >= self.reviewed_s + REVIEW_S:
-            self._review()
-            return
         fresh, core.fresh = core.fresh, []
         for job in fresh:
-            if job.phase is Phase.QUEUED:
-                self.try_start(job)
+            self._try_fresh(job)
+        due = core.now_s >= self.reviewed_s + REVIEW_S
+        if self.review is None and (due or self.reviewed_at != core.freed):
+            self.reviewed_s = core.now_s
+            self.reviewed_at = core.freed
+            self.review = core.shares.in_order(core.now_s)
+            if len(self.failed) > MAX_FAILED:
+                self.failed.clear()
+        if self.review is not None:
+            self._continue(self.review)
 
-    def _review(self) -> None:
-        core = self.core
-        self.reviewed_s = core.now_s
-        core.fresh = []
-        self.reviewed_at = core.freed
-        if len(self.failed) > MAX_FAILED:
-            self.failed.clear()
-        self.unfinished = False
-        for job in core.shares.in_order(core.now_s):
-            if self.searches >= MAX_SEARCHES:
-                self.unfinished = True
+    def _try_fresh(self, job: Job) -> None:
+        if job.phase is not Phase.QUEUED:
+            return
+        if self.review is None or job.spec.urgent:
+            self.try_start(job)
+        else:
+            # The review in progress may have passed its rank already.
+            self.reviewed_at = -1
+
+    def _continue(self, review: Iterator[Job]) -> None:
+        while self.tries < MAX_TRIES:
+            job = next(review, None)
+            if job is None:
+                self.review = None
                 return
             self.try_start(job)
 
@@ -117,6 +125,7 @@
     def try_start(self, job: Job) -> None:
         """Place one job if it fits now, or find out what it waits for."""
         core = self.core
+        self.tries += 1
         obstacle = self._obstacle(job)
         if obstacle:
             core.wait(job, obstacle)
@@ -150,7 +159,7 @@
             for zone in zones:
                 if self.failed.get((zone.zone, *memo)) == zone.freed:
                     continue
-                self.searches += 1
+                self.tries += 1
                 spots = place_in_zone(zone, want, reach)
                 if spots is not None:
                     return _Found(zone, spots)
@@ -190,39 +199,40 @@
 
     def _move_homes(self, job: Job, want: Want, zones: list[Zone]) -> bool:
         """Start work that must not stop where idle homes can move away."""
-        if self.moved:
-            self.unfinished = True
+        if self.core.now_s < self.move_s:
             return False
         memo = ('move', *self._memo(want, Reach.BORROW))
         state = sum(zone.freed for zone in zones)
         if self.failed.get(memo) == state:
             return False
-        self.searches += len(zones)
+        self.tries += len(zones)
         loose = want._replace(pinned=False)
         choices = [
             _Found(zone, spots)
             for zone in zones
             for spots in choices_in_zone(zone, loose, Reach.BORROW)
         ]
-        found = self._first_movable(job, choices)
-        if found is None:
+        found = self._movable(job, choices)
+        if found is not None:
+            self.start(job, found.zone, found.spots)
+        elif job.moves % (len(Keep) * max(1, len(choices))) == 0:
             self.failed[memo] = state
-            return False
-        self.start(job, found.zone, found.spots)
-        return True
+        return found is not None
 
-    def _first_movable(
+    def _movable(
         self, job: Job, choices: Sequence[_Movable]
     ) -> _Movable | None:
-        """Return a choice from which the homes of other accounts moved."""
-        self.moved = bool(choices)
-        for number in range(min(MAX_MOVES, len(choices))):
-            # Later calls begin with another choice.
-            choice = choices[(job.moves + number) % len(choices)]
-            if self.core.make_room(job, choice.spots):
-                return choice
-        job.moves += MAX_MOVES
-        return None
+        """Return a choice from which the homes of other accounts moved.
+
+        One choice is tried in one call of handle(), the next one later.
+        """
+        if not choices or self.core.now_s < self.move_s:
+            return None
+        self.move_s = self.core.now_s + MOVE_INTERVAL_S
+        keep = tuple(Keep)[job.moves % len(Keep)]
+        choice = choices[job.moves // len(Keep) % len(choices)]
+        job.moves += 1
+        return choice if self.core.make_room(job, choice.spots, keep) else None
 
     def _reserve(self, job: Job, want: Want, zones: list[Zone]) -> None:
         core = self.core
@@ -237,7 +247,7 @@
         }
         if len(reserved) >= MAX_RESERVATIONS or job.account in accounts:
             return
-        self.searches += 1
+        self.tries += 1
         found = self._reservation(job, want, zones)
         if found is not None:
             claim(core, job, found.zone, found.spots, found.ready_s)
@@ -248,11 +258,11 @@
     ) -> Reservation | None:
         core = self.core
         choices = reservations(zones, want, core.now_s, core.expected_end_s)
-        if choices or not job.pinned or self.moved:
+        if choices or not job.pinned:
             return choices[0] if choices else None
         loose = want._replace(pinned=False)
         choices = reservations(zones, loose, core.now_s, core.expected_end_s)
-        return self._first_movable(job, choices)
+        return self._movable(job, choices)
 
     def start(self, job: Job, zone: Zone, spots: Iterable[Spot]) -> None:
         """Give a queued job its placement."""
--- a/mangotrail/guarantees.py
+++ b/mangotrail/guarantees.py
@@ -32,7 +32,7 @@
 # succeeds; a bundle that needs more is refused.
 MAX_CHECK_STEPS = 20000
 # The leader waits for this search, so it is short.
-MAX_PLAN_STEPS = 2000
+MAX_BACKTRACKING = 200
 
 
 def cell_shapes(accounts: Iterable[AccountSpec]) -> Iterator[CellShape]:
@@ -208,7 +208,8 @@
         """Find homes for cells; an empty home means that none was found."""
         if not cells:
             return []
-        homes, failed = search(self._packing(), cells, MAX_PLAN_STEPS)
+        steps = len(cells) + MAX_BACKTRACKING
+        homes, failed = search(self._packing(), cells, steps)
         if failed is not None:
             homes = pack_most(self._packing(), cells)
         return list(zip(cells, homes, strict=True))
