Quarantine bad workers, throttle excess usage, learn run times and sizes

Cause: a worker that fails every task uses up the attempts of many jobs, and declared sizes are wrong by a large factor. Change: failures count over distinct pairs of worker and job, a job keeps away from workers on which it failed, quarantined workers get slow probes and, if no small job is queued, parole; usage above the size is throttled with regard to the lag of reports. Homes of cells are dropped where their slots would be taken by members that no cell covers any more.

--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -15,9 +15,14 @@
 from mangotrail.events import Decision, Finish, Stop, Wait
 from mangotrail.fairness import AccountQueue, Shares
 from mangotrail.guarantees import Avoided, Guarantees, Keep, PlannedCell
-from mangotrail.ids import JobId
+from mangotrail.health import Health
+from mangotrail.ids import JobId, WorkerId
 from mangotrail.placement import Want
-from mangotrail.topology import Hold, Spot, Topology, Zone
+from mangotrail.topology import Hold, Spot, Topology, Zone, members_outside
+
+# A job keeps away from workers on which it failed for this long; after that it
+# may have nowhere else to go.
+AVOID_S = 30.0
 
 
 class TimerKind(Enum):
@@ -58,6 +63,7 @@
         self.shares = Shares()
         self.endpoints = EndpointTable()
         self.estimates = Estimates()
+        self.health = Health()
         self.guarantees = Guarantees()
         self.claims: dict[JobId, Pending] = {}
         self.jobs: dict[JobId, Job] = {}
@@ -104,8 +110,14 @@
             pinned=job.pinned,
             urgent=job.spec.urgent,
             ends_s=ends_s,
+            avoided=self._avoided(job),
         )
 
+    def _avoided(self, job: Job) -> frozenset[WorkerId]:
+        if self.now_s >= job.queued_s + AVOID_S:
+            return frozenset()
+        return job.avoided
+
     def expected_end_s(self, job_id: JobId) -> float:
         """Return when a running job is expected to end."""
         job = self.jobs[job_id]
@@ -145,6 +157,7 @@
         """Let a job wait for a placement."""
         job.phase = Phase.QUEUED
         job.wait_reason = ''
+        job.queued_s = self.now_s
         self.queue_of(job).push(job)
         self.fresh.append(job)
 
@@ -193,6 +206,8 @@
         job.stopping = ''
         job.checkpointed = False
         job.stop_due_s = float('inf')
+        job.share = 0
+        job.settled_s = 0
         self.freed += 1
 
     def plan_guarantees(self, *, keep: Keep = Keep.ALL) -> None:
@@ -255,9 +270,14 @@
                 Stop(job=job.job, attempt=job.attempt, reason=reason)
             )
 
+    def forget(self, job: Job) -> None:
+        """Drop a job that ended."""
+        del self.jobs[job.job]
+        self.health.forget_job(job.job)
+
     def finish(self, job: Job, outcome: Outcome, reason: str) -> None:
         """End a job that holds nothing."""
-        del self.jobs[job.job]
+        self.forget(job)
         self.out.append(
             Finish(job=job.job, outcome=outcome, ran=job.ran, reason=reason)
         )
@@ -266,9 +286,10 @@
 def _hold(job: Job, spot: Spot) -> Hold:
     own = spot.worker.own.get(job.account, 0)
     members = len(spot.masks)
-    outside = sum(not mask or bool(mask & ~own) for mask in spot.masks)
+    outside = members_outside(spot.masks, own)
     return Hold(
         account=job.account,
+        masks=spot.masks,
         mask=spot.mask,
         slots=members,
         connections=members if spot.mask else 0,
--- a/mangotrail/_ending.py
+++ b/mangotrail/_ending.py
@@ -3,6 +3,7 @@
 from mangotrail._core import Core, TimerKind
 from mangotrail._jobs import Job, Phase
 from mangotrail._messages import Outcome
+from mangotrail._quarantine import learn_failure, learn_stop, learn_success
 from mangotrail.events import GangFailed, JobFinished
 from mangotrail.ids import JobId
 
@@ -28,6 +29,10 @@
     if job is None:
         return
     stopped = bool(job.stopping)
+    if stopped:
+        learn_stop(core, job)
+    else:
+        learn_failure(core, job, event.worker)
     core.release(job)
     if not event.nothing_ran:
         job.ran = True
@@ -65,14 +70,20 @@
     return core.random.uniform(RETRY_FIRST_S, longest)
 
 
-def on_finished(core: Core, event: JobFinished) -> Job | None:
+def on_finished(core: Core, event: JobFinished) -> None:
     """End a job that its endpoint answered."""
     job = attempt_of(core, event.job, event.attempt, 'stale_job_finished')
     if job is None:
-        return None
+        return
+    if event.outcome is Outcome.ANSWERED:
+        learn_success(core, job)
+        core.estimates.learn_runtime(job.kind, event.runtime_s)
+    elif event.outcome is Outcome.FAILED:
+        learn_failure(core, job, event.worker)
+    else:
+        learn_stop(core, job)
     core.release(job)
-    del core.jobs[job.job]
-    return job
+    core.forget(job)
 
 
 def on_cancelled(core: Core, job_id: JobId) -> None:
--- a/mangotrail/_inventory.py
+++ b/mangotrail/_inventory.py
@@ -3,6 +3,7 @@
 from mangotrail._core import Core
 from mangotrail._ending import finish_waiting
 from mangotrail._jobs import Job
+from mangotrail._quarantine import forget_missing
 from mangotrail.events import BundleApplied, WorkersReported
 from mangotrail.placement import zones_that_hold
 from mangotrail.topology import Spot, Topology, Worker, spots_of
@@ -20,6 +21,7 @@
         core.topology = Topology(event.bundle)
         if old is not None:
             _take_over(core, old, core.topology)
+        forget_missing(core)
     assert core.topology is not None
     core.shares.apply(
         list(event.bundle.accounts),
--- a/mangotrail/_jobs.py
+++ b/mangotrail/_jobs.py
@@ -5,7 +5,7 @@
 
 from mangotrail._messages import JobShape, JobSpec, Placement
 from mangotrail.estimates import Kind
-from mangotrail.ids import AccountId, JobId, ServiceId
+from mangotrail.ids import AccountId, JobId, ServiceId, WorkerId
 from mangotrail.topology import Spot
 
 
@@ -54,7 +54,10 @@
         'started_s',
         'charged',
         'wait_reason',
-        'throttled_s',
+        'share',
+        'settled_s',
+        'avoided',
+        'queued_s',
         'moves',
     )
 
@@ -82,7 +85,13 @@
         # Accelerators held outside the account's own guarantee.
         self.charged = 0.0
         self.wait_reason = ''
-        self.throttled_s = 0.0
+        # Share of the last throttle, 0 without one, and the running time
+        # from which measured usage shows its effect.
+        self.share = 0.0
+        self.settled_s = 0.0
+        # Workers on which an attempt failed.
+        self.avoided: frozenset[WorkerId] = frozenset()
+        self.queued_s = submitted_s
         # Choices tried so far to move homes of cells away.
         self.moves = 0
 
--- a/mangotrail/_preemption.py
+++ b/mangotrail/_preemption.py
@@ -8,7 +8,7 @@
 from mangotrail.events import Checkpoint
 from mangotrail.ids import JobId
 from mangotrail.placement import Reach, Want, is_displaceable
-from mangotrail.topology import Claim, Spot, Worker, Zone
+from mangotrail.topology import Claim, Spot, Worker, Zone, members_outside
 
 # The share of reclaim_s that is given to the checkpoint; the rest is for the
 # stop itself.
@@ -122,7 +122,7 @@
     own = worker.own.get(job.account, 0)
     if spot.mask & worker.reserved & ~own:
         return True
-    outside = sum(not mask or bool(mask & ~own) for mask in spot.masks)
+    outside = members_outside(spot.masks, own)
     spare = worker.spare_slots
     if spot.mask:
         spare = min(spare, worker.spare_connections)
--- /dev/null
+++ b/mangotrail/_quarantine.py
@@ -0,0 +1,79 @@
+"""Applies what is known about the health of workers."""
+
+from mangotrail._core import Core
+from mangotrail._jobs import Job
+from mangotrail.events import Quarantine, Release
+from mangotrail.ids import WorkerId
+from mangotrail.topology import Worker
+
+
+def learn_failure(core: Core, job: Job, worker: WorkerId | None) -> None:
+    """Take in that an attempt failed by itself, at a worker if known."""
+    _end_probe(core, job, succeeded=False)
+    if worker is None or core.topology is None:
+        return
+    found = core.topology.workers.get(worker)
+    if found is None:
+        return
+    job.avoided |= {worker}
+    core.health.fail(worker, job.job, job.kind)
+    if core.health.is_bad(worker) and _may_quarantine(core):
+        core.health.quarantine(worker, core.now_s)
+        reason = f'{core.health.evidence(worker)} jobs failed'
+        core.out.append(Quarantine(worker=worker, reason=reason))
+        _apply(core, found, quarantined=True)
+
+
+def learn_success(core: Core, job: Job) -> None:
+    """Take in that a job ran to its end."""
+    _end_probe(core, job, succeeded=True)
+    for spot in job.spots:
+        core.health.succeed(spot.worker.worker, job.kind)
+
+
+def learn_stop(core: Core, job: Job) -> None:
+    """Take in that an attempt was stopped, which proves nothing."""
+    for probation in core.health.quarantined.values():
+        if probation.job == job.job:
+            probation.job = None
+
+
+def _may_quarantine(core: Core) -> bool:
+    assert core.bundle is not None and core.topology is not None
+    percent = core.bundle.limits.max_quarantine_percent
+    limit = len(core.topology.workers) * percent // 100
+    return len(core.health.quarantined) < limit
+
+
+def _end_probe(core: Core, job: Job, *, succeeded: bool) -> None:
+    for worker, probation in list(core.health.quarantined.items()):
+        if probation.job != job.job:
+            continue
+        if not succeeded:
+            core.health.fail_probe(worker, core.now_s)
+            continue
+        release(core, worker)
+
+
+def release(core: Core, worker: WorkerId) -> None:
+    """Give a worker work again."""
+    core.health.release(worker)
+    core.out.append(Release(worker=worker))
+    found = core.topology and core.topology.workers.get(worker)
+    if found:
+        _apply(core, found, quarantined=False)
+
+
+def _apply(core: Core, worker: Worker, *, quarantined: bool) -> None:
+    worker.quarantined = quarantined
+    worker.zone.freed += 1
+    core.freed += 1
+    core.plan_guarantees()
+
+
+def forget_missing(core: Core) -> None:
+    """End the quarantine of workers that left the bundle."""
+    assert core.topology is not None
+    for worker in list(core.health.quarantined):
+        if worker not in core.topology.workers:
+            core.health.release(worker)
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -1,6 +1,7 @@
 """Starts queued jobs."""
 
 from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
 from typing import NamedTuple, TypeVar
 
 from mangotrail._blocks import bits_of
@@ -8,23 +9,29 @@
 from mangotrail._jobs import Job, Phase
 from mangotrail._messages import MemberPlacement, Placement
 from mangotrail._preemption import claim, is_broken, is_ready, reclaim
+from mangotrail._quarantine import release
 from mangotrail._reservation import Reservation, reservations
 from mangotrail.events import Place
 from mangotrail.guarantees import Keep
+from mangotrail.ids import JobId
 from mangotrail.placement import (
     Reach,
     Want,
     choices_in_zone,
+    fit_on,
     place_in_zone,
+    spot_on,
     zones_that_hold,
 )
-from mangotrail.topology import Spot, Zone
+from mangotrail.topology import Spot, Worker, Zone
 
 # Jobs looked at and zones searched in one call of handle(); the rest waits for
 # the next call, which bounds the decision time.
 MAX_TRIES = 64
 # Failed searches that are remembered.
 MAX_FAILED = 10000
+# Heads of queues that are considered for one probe.
+MAX_PROBE_JOBS = 50
 # A head of the queue that waited this long reserves capacity. Reserving at
 # once would hold capacity back for jobs that start soon anyway.
 RESERVE_AFTER_S = 60.0
@@ -97,6 +104,35 @@
                 return
             self.try_start(job)
 
+    def probe(self) -> None:
+        """Try workers in quarantine with one small job each."""
+        core = self.core
+        for worker_id in core.health.due_probes(core.now_s):
+            assert core.topology is not None
+            worker = core.topology.workers[worker_id]
+            if worker.healthy and worker.zone.open:
+                job = self._probe_job(worker)
+                if job is not None:
+                    core.health.quarantined[worker_id].job = job
+                elif core.health.may_parole(worker_id, core.now_s):
+                    release(core, worker_id)
+
+    def _probe_job(self, worker: Worker) -> JobId | None:
+        core = self.core
+        heads = core.shares.in_order(core.now_s)
+        for job in islice(heads, MAX_PROBE_JOBS):
+            small = job.spec.shape.members == 1 and not job.spec.urgent
+            if job.pinned or not small or self._obstacle(job):
+                continue
+            want = core.want(job)
+            fit = fit_on(worker, want, Reach.BORROW)
+            if fit is not None and worker.worker not in want.avoided:
+                size = job.spec.shape.accelerators
+                spot = spot_on(worker, fit.mask, 1, size)
+                self.start(job, worker.zone, [spot])
+                return job.job
+        return None
+
     def _serve_claims(self) -> None:
         core = self.core
         for job_id, pending in list(core.claims.items()):
@@ -182,6 +218,7 @@
             want.pinned,
             want.urgent,
             length_s,
+            want.avoided,
         )
 
     def _reclaim(self, job: Job, want: Want, zones: list[Zone]) -> bool:
--- a/mangotrail/guarantees.py
+++ b/mangotrail/guarantees.py
@@ -137,7 +137,7 @@
                 left[cell] -= 1
                 kept.append((cell, plan.homes[-1]))
         wanted = order(left.elements())
-        return kept + plan.find(wanted)
+        return plan.without_excess(kept + plan.find(wanted))
 
     def adopt(
         self, topology: Topology, homes: list[PlannedCell]
@@ -249,6 +249,42 @@
             blocked=tuple(sorted(blocked.items())),
         )
 
+    def without_excess(self, cells: list[PlannedCell]) -> list[PlannedCell]:
+        """Drop homes whose slots or connections are taken.
+
+        A member inside a cell of its own account uses the slots of that cell.
+        Once the cell moves away the member needs slots of its own, which the
+        rooms do not foresee.
+        """
+        own: dict[Worker, dict[AccountId, int]] = {}
+        for cell, home in cells:
+            for worker, mask in home:
+                _add_mask(own.setdefault(worker, {}), cell.account, mask)
+        excess = {
+            worker
+            for worker, masks in own.items()
+            if (worker.pinned or worker.outside or worker in self.avoid)
+            and self._exceeds(worker, masks)
+        }
+        return [
+            (cell, () if excess.intersection(dict(home)) else home)
+            for cell, home in cells
+        ]
+
+    def _exceeds(self, worker: Worker, own: dict[AccountId, int]) -> bool:
+        needed = sum(mask.bit_count() for mask in own.values())
+        slots = worker.slots - min(worker.slots, needed)
+        connections = worker.connections - min(worker.connections, needed)
+        for hold in worker.holds.values():
+            if hold.pinned:
+                outside = hold.outside_of(own.get(hold.account, 0))
+                slots -= outside
+                connections -= outside if hold.mask else 0
+        for one in self.avoid.get(worker, ()):
+            slots -= one.tasks
+            connections -= one.tasks if one.mask else 0
+        return slots < 0 or connections < 0
+
 
 def _add_mask(
     masks: dict[AccountId, int], account: AccountId, mask: int
--- a/mangotrail/placement.py
+++ b/mangotrail/placement.py
@@ -7,7 +7,7 @@
 
 from mangotrail._blocks import count_blocks, full_mask, take_block
 from mangotrail._messages import GangLevel, JobShape
-from mangotrail.ids import AccountId, JobId
+from mangotrail.ids import AccountId, JobId, WorkerId
 from mangotrail.topology import Hold, Spot, Topology, Worker, Zone
 
 
@@ -33,6 +33,7 @@
 
     :param ends_s: time by which it ends according to learned run times,
         infinite if unknown; a shorter one may backfill.
+    :param avoided: workers that it must not use.
     """
 
     job: JobId
@@ -41,6 +42,7 @@
     pinned: bool
     urgent: bool = False
     ends_s: float = float('inf')
+    avoided: frozenset[WorkerId] = frozenset()
 
 
 class Fit(NamedTuple):
@@ -131,7 +133,8 @@
     return slots
 
 
-def _fit(worker: Worker, want: Want, reach: Reach) -> Fit | None:
+def fit_on(worker: Worker, want: Want, reach: Reach) -> Fit | None:
+    """Return how many members fit on a worker, None if none does."""
     size = want.shape.accelerators
     mask = takeable(worker, want, reach) if size else 0
     if size:
@@ -150,7 +153,9 @@
 def _fits(workers: Iterable[Worker], want: Want, reach: Reach) -> Iterator[Fit]:
     for worker in workers:
         if worker.healthy and not worker.quarantined:
-            fit = _fit(worker, want, reach)
+            if want.avoided and worker.worker in want.avoided:
+                continue
+            fit = fit_on(worker, want, reach)
             if fit is not None:
                 yield fit
 
--- a/mangotrail/scheduler.py
+++ b/mangotrail/scheduler.py
@@ -4,8 +4,9 @@
 from mangotrail._ending import on_cancelled, on_failed, on_finished, on_timer
 from mangotrail._inventory import apply_bundle, hold_placement, report_workers
 from mangotrail._jobs import Job, Phase
-from mangotrail._messages import JobSpec, Outcome
+from mangotrail._messages import JobSpec
 from mangotrail._starting import Starter
+from mangotrail._usage import on_usage, throttle_at_start
 from mangotrail._zones import change_zone, refill_ramps
 from mangotrail.errors import (
     ImpossibleJobError,
@@ -13,6 +14,7 @@
     QueueFullError,
     UnknownObjectError,
 )
+from mangotrail.estimates import Kind
 from mangotrail.events import (
     BundleApplied,
     Decision,
@@ -31,6 +33,7 @@
     ZoneChanged,
 )
 from mangotrail.guarantees import Keep
+from mangotrail.ids import AccountId
 from mangotrail.placement import zones_that_hold
 from mangotrail.policy import Policy
 
@@ -132,9 +135,11 @@
             case GangFailed():
                 on_failed(self.core, event)
             case JobFinished():
-                self._finish(event)
-            case UsageReported() | Tick():
-                pass
+                on_finished(self.core, event)
+            case UsageReported():
+                on_usage(self.core, event)
+            case Tick():
+                self.starter.probe()
 
     def _submit(self, event: JobSubmitted) -> None:
         core = self.core
@@ -203,8 +208,11 @@
             return
         job.phase = Phase.RUNNING
         job.started_s = core.now_s
+        throttle_at_start(core, job)
 
-    def _finish(self, event: JobFinished) -> None:
-        job = on_finished(self.core, event)
-        if job is not None and event.outcome is Outcome.ANSWERED:
-            self.core.estimates.learn_runtime(job.kind, event.runtime_s)
+    def learn_runtime(
+        self, account: AccountId, job_kind: str, runtime_s: float
+    ) -> None:
+        """Take in the run time of a job that ended before this leader."""
+        kind = Kind(account, job_kind)
+        self.core.estimates.learn_runtime(kind, runtime_s)
--- a/mangotrail/topology.py
+++ b/mangotrail/topology.py
@@ -27,6 +27,11 @@
         return union
 
 
+def members_outside(masks: Iterable[int], own: int) -> int:
+    """Return how many members are not inside the given accelerators."""
+    return sum(not mask or bool(mask & ~own) for mask in masks)
+
+
 class Hold(NamedTuple):
     """What a job holds on one worker.
 
@@ -36,6 +41,7 @@
     """
 
     account: AccountId
+    masks: tuple[int, ...]
     mask: int
     slots: int
     connections: int
@@ -44,6 +50,10 @@
     outside: int
     outside_connections: int
 
+    def outside_of(self, own: int) -> int:
+        """Return how many members are not inside the given accelerators."""
+        return members_outside(self.masks, own)
+
 
 class Claim(NamedTuple):
     """Capacity that waits for one job.
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -11,7 +11,9 @@
     Finish,
     JobCancelled,
     Place,
+    Quarantine,
     Refuse,
+    Release,
     Stop,
 )
 from mangotrail.ids import JobId
@@ -55,6 +57,7 @@
         self.zones = {'z1': 'in', 'z2': 'in', 'z3': 'in'}
         self.stop_by: dict[str, float] = {}
         self.lost: set[str] = set()
+        self.quarantined: set[str] = set()
         self.disturbed = False
 
     def take(self, decisions: list[Decision]) -> None:
@@ -66,6 +69,12 @@
             elif isinstance(decision, Stop):
                 assert decision.attempt == self.active[decision.job].attempt
                 self.stopping.add(decision.job)
+            elif isinstance(decision, Quarantine):
+                self.disturbed = True
+                self.quarantined.add(decision.worker)
+                assert len(self.quarantined) <= 2
+            elif isinstance(decision, Release):
+                self.quarantined.remove(decision.worker)
             elif isinstance(decision, (Finish, Refuse)):
                 assert decision.job not in self.ended
                 assert decision.job not in self.active
@@ -87,6 +96,8 @@
         prefixes = {tuple(one.worker.split('-')[:parts]) for one in members}
         assert len(prefixes) == 1
         assert not self.lost & {one.worker for one in members}
+        if self.quarantined & {one.worker for one in members}:
+            assert len(members) == 1 and self.preemptible(place.job)
         for one in members:
             assert one.worker.startswith(place.placement.zone)
             assert len(set(one.accelerators)) == job_spec.shape.accelerators
@@ -117,7 +128,7 @@
             for one in place.placement.members
             for bit in one.accelerators
         }
-        seen = set()
+        seen: dict[tuple[str, int], str] = {}
         for cell, home in core.guarantees.homes:
             for worker, mask in home:
                 assert self.zones[worker.zone.zone] == 'in'
@@ -126,7 +137,27 @@
                         key = (worker.worker, bit)
                         assert pinned.get(key, cell.account) == cell.account
                         assert key not in seen
-                        seen.add(key)
+                        seen[key] = cell.account
+        self.check_tasks(seen)
+
+    def check_tasks(self, homes: dict[tuple[str, int], str]) -> None:
+        """Check that homes have slots and connections that can be taken."""
+        slots = Counter(key[0] for key in homes)
+        slots = Counter({one: min(SLOTS, n) for one, n in slots.items()})
+        connections = Counter({
+            one: min(CONNECTIONS, n) for one, n in slots.items()
+        })
+        for job, place in self.active.items():
+            owner = self.specs[job].account
+            for one in place.placement.members:
+                bits = [(one.worker, bit) for bit in one.accelerators]
+                inside = bits and all(homes.get(b) == owner for b in bits)
+                if not inside and not self.preemptible(job):
+                    slots[one.worker] += 1
+                    connections[one.worker] += bool(bits)
+        for worker in sorted(key[0] for key in homes):
+            assert slots[worker] <= SLOTS
+            assert connections[worker] <= CONNECTIONS
 
     def preemptible(self, job: str) -> bool:
         """Tell whether a job can be preempted."""
