--- /dev/null
+++ b/tests/test_fairness.py
@@ -0,0 +1,97 @@
+"""Guards the limits and the order in which accounts are served."""
+
+from mangotrail.fairness import AGEING_S, AccountQueue
+from tests.core_events import (
+    Driver,
+    account,
+    cells,
+    make_bundle,
+    places,
+    spec,
+    zone_spec,
+)
+
+
+def one_worker(*accounts: object, accelerators: int = 4) -> Driver:
+    """Build a single worker."""
+    zones = [zone_spec('z', (1, accelerators))]
+    return Driver(make_bundle(zones, accounts))
+
+
+def active(driver: Driver) -> list[str]:
+    """Return the jobs that hold resources, oldest placement first."""
+    jobs = driver.scheduler.core.jobs
+    return [name for name in driver.placed if name in jobs]
+
+
+class TestOrder:
+    """Which waiting job gets freed capacity."""
+
+    def test_account_with_less_usage_first(self) -> None:
+        """One busy account would otherwise keep all capacity."""
+        driver = one_worker(account('a'), account('b'))
+        for name in ('a1', 'a2', 'a3', 'a4', 'a5'):
+            driver.submit(name, spec('a'))
+        driver.submit('b1', spec('b'))
+        driver.start('a1')
+        assert places(driver.finish('a1')) == {'b1'}
+
+    def test_weight(self) -> None:
+        """The share of an account follows its weight."""
+        driver = one_worker(account('a'), account('b', weight=3))
+        for number in range(12):
+            driver.submit(f'a{number}', spec('a'))
+            driver.submit(f'b{number}', spec('b'))
+        for _ in range(8):
+            driver.finish(active(driver)[0])
+        assert [name[0] for name in active(driver)].count('b') == 3
+
+    def test_ageing(self) -> None:
+        """A job of a busy account must not wait for ever."""
+        driver = one_worker(account('a'), account('b'))
+        for name in ('a1', 'a2', 'a3', 'a4', 'a5'):
+            driver.submit(name, spec('a'))
+        driver.tick(4 * AGEING_S)
+        driver.submit('b1', spec('b'))
+        assert places(driver.finish('a1')) == {'a5'}
+
+    def test_urgent_first(self) -> None:
+        """Urgent work must not queue behind other work."""
+        driver = one_worker(account('a'), account('b'), accelerators=1)
+        driver.run('a1', spec('a', preemptible=False))
+        driver.submit('b1', spec('b'))
+        driver.submit('a2', spec('a', urgent=True))
+        assert places(driver.finish('a1')) == {'a2'}
+
+    def test_guarantee_before_share(self) -> None:
+        """An account gets its guarantee however much others are owed."""
+        driver = one_worker(
+            account('a', cells('worker', 2)), account('b'), accelerators=4
+        )
+        driver.submit('b1', spec('b', size=4))
+        driver.submit('b2', spec('b', size=4))
+        driver.start('b1')
+        driver.submit('a1', spec('a', size=2))
+        driver.wait_for(object, 'b1')
+        driver.finish('b1')
+        assert 'a1' in driver.placed and 'b2' not in driver.placed
+
+
+class TestLimits:
+    """Limits of an account."""
+
+    def test_max_running(self) -> None:
+        """One account must not exceed the jobs it may run."""
+        driver = one_worker(account('a', max_running=1))
+        driver.submit('a1', spec('a'))
+        driver.submit('a2', spec('a'))
+        assert 'a2' not in driver.placed
+        assert places(driver.finish('a1')) == {'a2'}
+
+    def test_retry_budget(self) -> None:
+        """Retries of many failing jobs would crowd out first attempts."""
+        queue = AccountQueue(account('a'))
+        queue.retries = 10
+        assert not queue.may_retry()
+        queue.requests = 101
+        assert queue.may_retry()
