Test reclaim, zones, endpoints, urgency, reservations and restore

Cause: these mechanisms were covered by random sequences only. Change: one test for each failure that the mechanism guards against.

--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -10,9 +10,18 @@
 from mangotrail._bundle import Bundle
 from mangotrail._packing import CellShape
 from mangotrail.errors import InvalidBundleError
+from mangotrail.events import Checkpoint, Stop, Wait
 from mangotrail.guarantees import cell_shapes, check_guarantees
 from mangotrail.topology import Topology, Worker
-from tests.core_events import account, cells, make_bundle, zone_spec
+from tests.core_events import (
+    Driver,
+    account,
+    cells,
+    make_bundle,
+    places,
+    spec,
+    zone_spec,
+)
 
 Taken = frozenset[tuple[str, int]]
 
@@ -126,3 +135,71 @@
             check_guarantees(bundle)
         assert 'a' in caught.value.message
         assert '8 accelerators at level worker' in caught.value.message
+
+
+class TestReclaim:
+    """Guaranteed capacity that others borrowed."""
+
+    def build(self, **limits: int) -> Driver:
+        """Build one worker that is guaranteed to account a."""
+        return Driver(
+            make_bundle(
+                [zone_spec('z', (1, 4))],
+                [account('a', cells('worker', 4)), account('b')],
+                **limits,
+            )
+        )
+
+    def test_checkpoint_then_stop(self) -> None:
+        """An account must get its cells back within the reclaim time."""
+        driver = self.build(reclaim_s=9)
+        driver.run('b1', spec('b', size=4))
+        (checkpoint, wait) = driver.submit('a1', spec('a', size=4))
+        assert isinstance(checkpoint, Checkpoint) and isinstance(wait, Wait)
+        asked_s = driver.now_s
+        driver.wait_for(Stop, 'b1')
+        assert driver.now_s - asked_s <= 9
+        assert places(driver.fail('b1')) == {'a1'}
+
+    @pytest.mark.parametrize(
+        'pinned', [{'preemptible': False}, {'idempotent': False}]
+    )
+    def test_pinned_work_takes_no_cell(self, pinned: dict) -> None:
+        """Work that must not stop would make the cell unreclaimable."""
+        driver = self.build()
+        driver.submit('b1', spec('b', **pinned))
+        assert 'b1' not in driver.placed
+
+    def test_home_moves_for_pinned_work(self) -> None:
+        """A cell that nobody uses must not keep a gang out for ever."""
+        driver = Driver(
+            make_bundle(
+                [zone_spec('z', (1, 4), (1, 8))],
+                [account('a', cells('worker', 4)), account('b')],
+            )
+        )
+        core = driver.scheduler.core
+        ((_, ((worker, _),)),) = core.guarantees.homes
+        members = worker.accelerators // 4
+        driver.submit('b1', spec('b', members, 4, preemptible=False))
+        assert 'b1' in driver.placed and not core.guarantees.suspended
+
+    def test_zone_out_and_back(self) -> None:
+        """Guarantees follow the zones that are in."""
+        driver = Driver(
+            make_bundle(
+                [zone_spec('z1', (1, 4)), zone_spec('z2', (1, 4))],
+                [account('a', cells('worker', 4)), account('b')],
+            )
+        )
+        core = driver.scheduler.core
+        ((_, ((worker, _),)),) = core.guarantees.homes
+        first = worker.zone.zone
+        second = {'z1': 'z2', 'z2': 'z1'}[first]
+        driver.zone(first, 'out')
+        ((_, ((worker, _),)),) = core.guarantees.homes
+        assert worker.zone.zone == second
+        driver.zone(second, 'out')
+        assert len(core.guarantees.suspended) == 1
+        driver.zone(second, 'in')
+        assert not core.guarantees.suspended
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,11 +1,26 @@
 """Guards the life of jobs inside the decision core."""
 
-from mangotrail._messages import Outcome
-from mangotrail.events import Finish, JobCancelled, Place, Refuse, Wait
-from mangotrail.ids import JobId
+from mangotrail._messages import MemberPlacement, Outcome, Placement
+from mangotrail._starting import RESERVE_AFTER_S
+from mangotrail._zones import RAMP_BURST
+from mangotrail.estimates import MIN_SAMPLES
+from mangotrail.events import (
+    Checkpoint,
+    EndpointsChanged,
+    Finish,
+    JobCancelled,
+    JobRestored,
+    Place,
+    Refuse,
+    Stop,
+    Wait,
+)
+from mangotrail.ids import AccountId, JobId
 from tests.core_events import (
     Driver,
     account,
+    cells,
+    endpoint,
     make_bundle,
     places,
     spec,
@@ -130,3 +145,197 @@
         driver.fail('j')
         assert driver.placed['j'].attempt == 2
         assert used_zone(driver.placed['j']) != left
+
+    def test_checkpoint_and_stop_before_deadline(self) -> None:
+        """Work that is cut off at the deadline loses its progress."""
+        driver = two_zones()
+        driver.run('j', spec(size=8))
+        zone = used_zone(driver.placed['j'])
+        decisions = driver.zone(zone, 'draining', deadline_s=40)
+        assert [type(one) for one in decisions] == [Checkpoint]
+        driver.wait_for(Stop, 'j', limit_s=39)
+
+    def test_non_idempotent_work_may_finish(self) -> None:
+        """An early stop would make its outcome unknown without need."""
+        driver = two_zones()
+        driver.run('j', spec(idempotent=False))
+        zone = used_zone(driver.placed['j'])
+        assert not driver.zone(zone, 'draining', deadline_s=40)
+        driver.tick(20)
+        assert 'j' not in stops(driver.log)
+        driver.wait_for(Stop, 'j', limit_s=19)
+
+    def test_return_without_stampede(self) -> None:
+        """Many starts at once overload a zone that just came back."""
+        driver = two_zones()
+        driver.zone('z1', 'out')
+        driver.zone('z2', 'out')
+        for number in range(16):
+            driver.submit(f'j{number}', spec(job_kind=f'{number}'))
+        assert len(places(driver.zone('z1', 'in'))) == RAMP_BURST
+        for _ in range(20):
+            assert len(places(driver.tick())) <= RAMP_BURST
+        assert len(driver.placed) == 16
+
+    def test_running_work_does_not_move_back(self) -> None:
+        """A move costs a checkpoint and gains nothing."""
+        driver = two_zones()
+        driver.zone('z1', 'out')
+        driver.run('j', spec())
+        assert not driver.zone('z1', 'in')
+        assert not driver.tick(600)
+
+
+class TestEndpoints:
+    """The endpoint of a placement."""
+
+    def test_closest_endpoint(self) -> None:
+        """The link between regions is slow and paid for by volume."""
+        zones = [
+            zone_spec('z1', (1, 1)),
+            zone_spec('z2', (1, 1)),
+            zone_spec('far', (1, 1), region='other'),
+        ]
+        driver = Driver(make_bundle(zones, [account('a')]))
+        for endpoints, expected in (
+            ([endpoint('far'), endpoint('z2')], 'e-z2'),
+            ([endpoint('far')], 'e-far'),
+            (
+                [endpoint('z1'), endpoint('z1', 'near', worker='z1-0-0')],
+                'near',
+            ),
+        ):
+            driver.send(EndpointsChanged(endpoints=endpoints))
+            driver.submit(expected, spec())
+            assert driver.placed[expected].placement.endpoint == expected
+
+    def test_no_endpoint(self) -> None:
+        """A gang without endpoint would hold accelerators for nothing."""
+        driver = two_zones()
+        driver.send(EndpointsChanged(endpoints=[]))
+        (wait,) = driver.submit('j', spec())
+        assert isinstance(wait, Wait) and 'render' in wait.reason
+        ends = [endpoint('z1')]
+        assert places(driver.send(EndpointsChanged(endpoints=ends))) == {'j'}
+
+
+class TestUrgent:
+    """Urgent work on a full cluster."""
+
+    def test_starts_within_five_seconds(self) -> None:
+        """Urgent work must not wait for a long checkpoint."""
+        driver = two_zones()
+        for number in range(4):
+            driver.run(f'b{number}', spec('b', size=8))
+        driver.submit('u', spec(size=8, urgent=True))
+        asked_s = driver.now_s
+        (victim,) = {
+            one.job for one in driver.log if isinstance(one, Checkpoint)
+        }
+        driver.wait_for(Stop, victim)
+        assert places(driver.fail(victim)) == {'u'}
+        assert driver.now_s - asked_s < 5
+
+
+class TestReservation:
+    """A large gang among small jobs."""
+
+    def build(self) -> Driver:
+        """Let a gang wait for a worker that four small jobs share."""
+        driver = Driver(
+            make_bundle([zone_spec('z', (1, 4))], [account('a'), account('b')])
+        )
+        for number in range(4):
+            driver.run(f'b{number}', spec('b', preemptible=False))
+        driver.submit('gang', spec(size=4))
+        driver.tick(RESERVE_AFTER_S)
+        return driver
+
+    def test_gang_starts(self) -> None:
+        """A stream of small jobs would keep the gang out for ever."""
+        driver = self.build()
+        for number in range(4):
+            driver.submit(f'c{number}', spec('b', preemptible=False))
+            driver.finish(f'b{number}')
+        assert 'gang' in driver.placed and 'c0' not in driver.placed
+
+    def test_backfill_by_learned_run_time(self) -> None:
+        """A declared run time is wrong by a factor of ten."""
+        driver = self.build()
+        for _ in range(MIN_SAMPLES):
+            driver.scheduler.learn_runtime(AccountId('b'), 'short', 5)
+        driver.finish('b0')
+        driver.submit('declared', spec('b', declared_runtime_s=1))
+        assert 'declared' not in driver.placed
+        driver.submit('learned', spec('b', job_kind='short'))
+        assert 'learned' in driver.placed
+
+
+class TestRestore:
+    """A new leader."""
+
+    def test_resources_and_attempts_go_on(self) -> None:
+        """A new leader must not give away what a gang holds."""
+        driver = two_zones()
+        driver.run('j', spec(members=2, size=8, idempotent=False))
+        place = driver.placed['j']
+        successor = two_zones()
+        restored = JobRestored(
+            job=JobId('j'),
+            job_spec=spec(members=2, size=8, idempotent=False),
+            attempt=place.attempt,
+            placement=place.placement,
+            age_s=10,
+            running_s=5,
+        )
+        assert not successor.send(restored)
+        successor.placed['j'] = place
+        successor.submit('k', spec(members=2, size=8, level='rack'))
+        assert used_zone(successor.placed['k']) != used_zone(place)
+        (finish,) = successor.fail('j')
+        assert finish.outcome is Outcome.OUTCOME_UNKNOWN and finish.ran
+
+    def test_restored_work_keeps_guarantees(self) -> None:
+        """Restored work may sit on a home that the new leader planned."""
+        bundle = make_bundle(
+            [zone_spec('z', (2, 4))],
+            [account('a', cells('worker', 4)), account('b')],
+        )
+        driver = Driver(bundle)
+        core = driver.scheduler.core
+        ((_, ((worker, _),)),) = core.guarantees.homes
+        placement = Placement(
+            zone='z',
+            members=[
+                MemberPlacement(worker=worker.worker, accelerators=[0, 1])
+            ],
+            endpoint='e-z',
+            endpoint_url='http://e-z',
+            platform_url='http://z',
+        )
+        driver.send(
+            JobRestored(
+                job=JobId('j'),
+                job_spec=spec('b', size=2, preemptible=False),
+                attempt=1,
+                placement=placement,
+                running_s=1,
+            )
+        )
+        driver.tick()
+        ((_, ((moved, _),)),) = core.guarantees.homes
+        assert moved is not worker
+
+    def test_equal_events_give_equal_decisions(self) -> None:
+        """Decisions that differ cannot be replayed or explained."""
+        logs = []
+        for _ in range(2):
+            driver = two_zones()
+            for number in range(20):
+                driver.submit(f'j{number}', spec(size=number % 4))
+            for number in range(0, 16, 2):
+                driver.fail(f'j{number}', nothing_ran=True)
+            for after_s in range(12):
+                driver.tick(after_s)
+            logs.append(driver.log)
+        assert logs[0] == logs[1]
