Evacuate restored attempts; bound what callers can make the core remember

Cause: a new leader that learned of a zone out before it learned of an attempt there left the attempt running; kinds of jobs are named by callers and made queues and estimates grow without bound. Change: a restored attempt in such a zone gets checkpoint and stop; lines are split by the binary order of the learned run time instead of the kind; estimates and failures are bounded.

--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -158,6 +158,8 @@
         job.phase = Phase.QUEUED
         job.wait_reason = ''
         job.queued_s = self.now_s
+        longest_s = self.estimates.longest_s(job.kind)
+        job.length = int(longest_s or 0).bit_length()
         self.queue_of(job).push(job)
         self.fresh.append(job)
 
@@ -201,7 +203,7 @@
         """Take back the resources of an attempt that ended."""
         self.unhold(job)
         if job.placement is not None:
-            self.endpoints.busy[job.placement.endpoint] -= 1
+            self.endpoints.release(job.placement.endpoint)
         job.placement = None
         job.stopping = ''
         job.checkpointed = False
--- a/mangotrail/_endpoint_choice.py
+++ b/mangotrail/_endpoint_choice.py
@@ -31,6 +31,12 @@
         self.in_open_zones.clear()
         self.by_zone.clear()
 
+    def release(self, endpoint: EndpointId) -> None:
+        """Count one attempt less at an endpoint."""
+        self.busy[endpoint] -= 1
+        if not self.busy[endpoint]:
+            del self.busy[endpoint]
+
     def serving(
         self, topology: Topology, service: ServiceId
     ) -> list[EndpointStatus]:
--- a/mangotrail/_inventory.py
+++ b/mangotrail/_inventory.py
@@ -41,6 +41,7 @@
     for zone_id, zone in old.zones.items():
         if zone_id in new.zones:
             new.zones[zone_id].state = zone.state
+            new.zones[zone_id].leave_by_s = zone.leave_by_s
             new.zones[zone_id].ramp_left = zone.ramp_left
             new.zones[zone_id].ramp_ends_s = zone.ramp_ends_s
     for worker_id, worker in old.workers.items():
--- a/mangotrail/_jobs.py
+++ b/mangotrail/_jobs.py
@@ -20,13 +20,17 @@
 
 
 class QueueKey(NamedTuple):
-    """Jobs of one account with equal keys can be placed alike."""
+    """Jobs of one account with equal keys can be placed alike.
+
+    :param length: binary order of the learned run time in seconds, 0 if
+        nothing was learned.
+    """
 
     urgent: bool
     shape: JobShape
     pinned: bool
     service: ServiceId
-    job_kind: str
+    length: int
 
 
 class Job:
@@ -58,6 +62,7 @@
         'settled_s',
         'avoided',
         'queued_s',
+        'length',
         'moves',
     )
 
@@ -92,6 +97,7 @@
         # Workers on which an attempt failed.
         self.avoided: frozenset[WorkerId] = frozenset()
         self.queued_s = submitted_s
+        self.length = 0
         # Choices tried so far to move homes of cells away.
         self.moves = 0
 
@@ -128,5 +134,5 @@
             shape=self.spec.shape,
             pinned=self.pinned,
             service=self.spec.service,
-            job_kind=self.spec.job_kind,
+            length=self.length,
         )
--- a/mangotrail/_zones.py
+++ b/mangotrail/_zones.py
@@ -51,21 +51,27 @@
 
 
 def _leave(core: Core, zone: Zone, deadline_s: float) -> None:
-    reason = f'zone {zone.zone} {zone.state.value}'
-    margin_s = min(MAX_MARGIN_S, deadline_s * MARGIN_SHARE)
+    zone.leave_by_s = core.now_s + deadline_s
     for job in _jobs_in(core, zone):
-        if job.phase is Phase.PLACED:
-            core.stop(job, reason)
-        elif job.pinned and not job.spec.idempotent:
-            # A stop would make its outcome unknown; it may still finish.
-            _stop_late(core, job, deadline_s - margin_s, reason)
-        elif _ends_within(core, job, deadline_s - margin_s):
-            _stop_late(core, job, deadline_s - margin_s, reason)
-        else:
-            assert core.bundle is not None
-            within_s = deadline_s * CHECKPOINT_SHARE
-            within_s = min(within_s, core.bundle.limits.reclaim_s)
-            preempt(core, job, within_s, reason)
+        evacuate(core, job, zone)
+
+
+def evacuate(core: Core, job: Job, zone: Zone) -> None:
+    """Make an attempt leave a zone before the deadline of the zone."""
+    reason = f'zone {zone.zone} {zone.state.value}'
+    left_s = max(0, zone.leave_by_s - core.now_s)
+    usable_s = left_s - min(MAX_MARGIN_S, left_s * MARGIN_SHARE)
+    if job.phase is Phase.PLACED:
+        core.stop(job, reason)
+    elif not job.spec.idempotent or _ends_within(core, job, usable_s):
+        # It may finish; a stop of work that is not idempotent would make its
+        # outcome unknown.
+        _stop_late(core, job, usable_s, reason)
+    else:
+        assert core.bundle is not None
+        within_s = left_s * CHECKPOINT_SHARE
+        within_s = min(within_s, core.bundle.limits.reclaim_s)
+        preempt(core, job, within_s, reason)
 
 
 def _ends_within(core: Core, job: Job, within_s: float) -> bool:
--- a/mangotrail/estimates.py
+++ b/mangotrail/estimates.py
@@ -12,6 +12,8 @@
 # Fewer run times say too little about the longest one.
 MIN_SAMPLES = 5
 MAX_SAMPLES = 32
+# Kinds are named by callers, so their number needs a bound.
+MAX_KINDS = 10000
 # A job is expected to need this long when nothing was learned.
 UNKNOWN_RUNTIME_S = 4 * 3600.0
 # Usage is sampled with noise; less than this excess is no reason to throttle.
@@ -66,4 +68,6 @@
 def _append(
     samples: dict[Kind, deque[float]], kind: Kind, value: float
 ) -> None:
+    if kind not in samples and len(samples) >= MAX_KINDS:
+        del samples[next(iter(samples))]
     samples.setdefault(kind, deque(maxlen=MAX_SAMPLES)).append(value)
--- a/mangotrail/health.py
+++ b/mangotrail/health.py
@@ -11,6 +11,9 @@
 BAD_WORKER_JOBS = 3
 BAD_JOB_WORKERS = 2
 BAD_KIND_WORKERS = 3
+# Bounds of memory; kinds are named by callers.
+MAX_FAILURES = 16
+MAX_KINDS = 10000
 PROBE_FIRST_S = 300.0
 PROBE_LAST_S = 3600.0
 # Without a job that fits as a probe, a worker is released on parole this long
@@ -42,7 +45,12 @@
 
     def fail(self, worker: WorkerId, job: JobId, kind: Kind) -> None:
         """Take in that a job failed on a worker."""
-        self.by_worker.setdefault(worker, {})[job] = kind
+        failures = self.by_worker.setdefault(worker, {})
+        failures[job] = kind
+        if len(failures) > MAX_FAILURES:
+            del failures[next(iter(failures))]
+        while len(self.by_kind) >= MAX_KINDS:
+            del self.by_kind[next(iter(self.by_kind))]
         self.by_job.setdefault(job, set()).add(worker)
         self.by_kind.setdefault(kind, set()).add(worker)
 
--- a/mangotrail/scheduler.py
+++ b/mangotrail/scheduler.py
@@ -7,7 +7,7 @@
 from mangotrail._messages import JobSpec
 from mangotrail._starting import Starter
 from mangotrail._usage import on_usage, throttle_at_start
-from mangotrail._zones import change_zone, refill_ramps
+from mangotrail._zones import change_zone, evacuate, refill_ramps
 from mangotrail.errors import (
     ImpossibleJobError,
     MangotrailError,
@@ -195,6 +195,9 @@
         if hold_placement(core, job, core.topology):
             core.counters['restored_overlap'] += 1
         self.replan = True
+        zone = core.topology.zones.get(event.placement.zone)
+        if zone is not None and not zone.open:
+            evacuate(core, job, zone)
 
     def _begin(self, event: GangStarted) -> None:
         core = self.core
--- a/mangotrail/topology.py
+++ b/mangotrail/topology.py
@@ -251,6 +251,8 @@
         # Starts that the ramp after a return still allows, None without one.
         self.ramp_left: float | None = None
         self.ramp_ends_s = 0.0
+        # Deadline for work here while the zone does not take work.
+        self.leave_by_s = 0.0
         self.free = 0
         self.free_slots = 0
         self.racks = tuple(Rack(zone=self, spec=rack) for rack in spec.racks)
--- a/tests/test_invariants.py
+++ b/tests/test_invariants.py
@@ -6,17 +6,26 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from mangotrail._messages import Outcome, WorkerStatus, ZoneState
 from mangotrail.events import (
     Decision,
+    Event,
     Finish,
+    GangFailed,
+    GangStarted,
     JobCancelled,
+    JobFinished,
+    JobRestored,
+    JobSubmitted,
     Place,
     Quarantine,
     Refuse,
     Release,
     Stop,
+    WorkersReported,
+    ZoneChanged,
 )
-from mangotrail.ids import JobId
+from mangotrail.ids import JobId, WorkerId, ZoneId
 from tests.core_events import (
     Driver,
     account,
@@ -214,6 +223,26 @@
             job = self.random.choice(sorted(self.specs))
             self.take(self.driver.send(JobCancelled(job=JobId(job))))
 
+    def noise(self) -> None:
+        """Send events that contradict the state."""
+        job = JobId(self.random.choice([*sorted(self.specs), 'unknown']))
+        events: list[Event] = [
+            GangStarted(job=job, attempt=9),
+            GangFailed(job=job, attempt=9, nothing_ran=False),
+            JobFinished(job=job, attempt=9, outcome=Outcome.ANSWERED),
+            WorkersReported(
+                workers=[WorkerStatus(worker=WorkerId('x'), healthy=False)]
+            ),
+            ZoneChanged(zone=ZoneId('x'), state=ZoneState.OUT),
+        ]
+        if job in self.driver.scheduler.core.jobs:
+            events.append(JobSubmitted(job=job, job_spec=spec()))
+            events.append(JobRestored(job=job, job_spec=spec(), attempt=1))
+        counters = self.driver.scheduler.core.counters
+        counted = counters.total()
+        self.take(self.driver.send(self.random.choice(events)))
+        assert counters.total() == counted + 1
+
     def move_zone(self) -> None:
         """Take a random zone out or in."""
         self.disturbed = True
@@ -266,7 +295,7 @@
         """A single violation breaks an invariant of the design page."""
         model = Model(seed)
         steps = [model.submit] * 5 + [model.progress] * 8 + [model.tick] * 4
-        steps.append(model.cancel)
+        steps += [model.cancel, model.noise]
         if not calm:
             steps += [model.move_zone, model.move_worker]
         for _ in range(150):
