--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -1,6 +1,8 @@
 """Guards the limits and the order in which accounts are served."""
 
+from mangotrail._jobs import Job
 from mangotrail.fairness import AGEING_S, AccountQueue
+from mangotrail.ids import JobId
 from tests.core_events import (
     Driver,
     account,
@@ -48,12 +50,20 @@
 
     def test_ageing(self) -> None:
         """A job of a busy account must not wait for ever."""
-        driver = one_worker(account('a'), account('b'))
-        for name in ('a1', 'a2', 'a3', 'a4', 'a5'):
-            driver.submit(name, spec('a'))
-        driver.tick(4 * AGEING_S)
-        driver.submit('b1', spec('b'))
-        assert places(driver.finish('a1')) == {'a5'}
+        shares = one_worker(account('a'), account('b')).scheduler.core.shares
+        old, young = (
+            Job(job=JobId('j'), spec=spec(), submitted_s=submitted_s)
+            for submitted_s in (0, 4 * AGEING_S)
+        )
+        shares.accounts['a'].charged = 4
+        busy, idle = shares.accounts['a'], shares.accounts['b']
+        now_s = 4 * AGEING_S
+        assert shares.priority(busy, old, now_s) < shares.priority(
+            idle, young, now_s
+        )
+        assert shares.priority(busy, young, now_s) > shares.priority(
+            idle, young, now_s
+        )
 
     def test_urgent_first(self) -> None:
         """Urgent work must not queue behind other work."""
@@ -65,16 +75,18 @@
 
     def test_guarantee_before_share(self) -> None:
         """An account gets its guarantee however much others are owed."""
-        driver = one_worker(
-            account('a', cells('worker', 2)), account('b'), accelerators=4
+        shares = one_worker(
+            account('a', cells('worker', 2)), account('b')
+        ).scheduler.core.shares
+        old, young = (
+            Job(job=JobId('j'), spec=spec(size=2), submitted_s=submitted_s)
+            for submitted_s in (0, AGEING_S)
         )
-        driver.submit('b1', spec('b', size=4))
-        driver.submit('b2', spec('b', size=4))
-        driver.start('b1')
-        driver.submit('a1', spec('a', size=2))
-        driver.wait_for(object, 'b1')
-        driver.finish('b1')
-        assert 'a1' in driver.placed and 'b2' not in driver.placed
+        owner, other = shares.accounts['a'], shares.accounts['b']
+        before = shares.priority(other, old, AGEING_S)
+        assert shares.priority(owner, young, AGEING_S) < before
+        owner.held = 1
+        assert shares.priority(owner, young, AGEING_S) > before
 
 
 class TestLimits:
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -125,6 +125,12 @@
             accepted = True
         assert accepted == fits(bundle)
 
+    def test_tightest_zone_is_not_always_right(self) -> None:
+        """A bundle that fits must not be refused for the order of search."""
+        zones = [zone_spec('z1', (10, 1)), zone_spec('z2', (8, 1))]
+        shapes = [cells('zone', 6), cells('zone', 4, 3)]
+        check_guarantees(make_bundle(zones, [account('a', *shapes)]))
+
     def test_names_account_and_shape(self) -> None:
         """An operator must learn which guarantee to change."""
         bundle = make_bundle(
@@ -174,15 +180,14 @@
         """A cell that nobody uses must not keep a gang out for ever."""
         driver = Driver(
             make_bundle(
-                [zone_spec('z', (1, 4), (1, 8))],
-                [account('a', cells('worker', 4)), account('b')],
+                [zone_spec('z', (1, 3), (2, 2))],
+                [account('a', cells('worker', 2)), account('b')],
             )
         )
-        core = driver.scheduler.core
-        ((_, ((worker, _),)),) = core.guarantees.homes
-        members = worker.accelerators // 4
-        driver.submit('b1', spec('b', members, 4, preemptible=False))
-        assert 'b1' in driver.placed and not core.guarantees.suspended
+        gang = spec('b', 2, 2, level='rack', preemptible=False)
+        driver.submit('b1', gang)
+        assert 'b1' in driver.placed
+        assert not driver.scheduler.core.guarantees.suspended
 
     def test_zone_out_and_back(self) -> None:
         """Guarantees follow the zones that are in."""
--- a/tests/test_health.py
+++ b/tests/test_health.py
@@ -42,6 +42,12 @@
         health = failures(*pairs)
         assert not any(health.is_bad(WorkerId(w)) for w in ('w1', 'w2', 'w3'))
 
+    def test_bad_job(self) -> None:
+        """A job that fails on several workers says nothing about them."""
+        pairs = [('w', f'j{number}', KIND) for number in range(3)]
+        health = failures(*pairs, ('other', 'j0', KIND))
+        assert not health.is_bad(WorkerId('w'))
+
     def test_success_clears(self) -> None:
         """Rare failures over weeks must not add up."""
         health = failures(('w', 'j1', KIND), ('w', 'j2', OTHER))
@@ -92,6 +98,17 @@
         released = driver.finish(place.job)
         assert Release(worker=bad.worker) in released
 
+    def test_retry_on_another_worker(self) -> None:
+        """A bad worker would otherwise use up all attempts of a job."""
+        driver = Driver(
+            make_bundle([zone_spec('z', (1, 1), (1, 2))], [account('a')])
+        )
+        driver.run('j', spec('a'))
+        (member,) = driver.placed['j'].placement.members
+        driver.fail('j', worker=member.worker)
+        (retried,) = driver.wait_for(Place, 'j').placement.members
+        assert retried.worker != member.worker
+
     def test_cap(self) -> None:
         """Quarantining too many workers would stop the fleet."""
         assert not fail_on_one_worker(self.build(percent=16), 3)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -87,6 +87,24 @@
         assert isinstance(finish, Finish)
         assert finish.outcome is Outcome.OUTCOME_UNKNOWN and finish.ran
 
+    def test_retry_budget(self) -> None:
+        """Retries of many failing jobs would crowd out first attempts."""
+        driver = two_zones()
+        decisions = []
+        for number in range(11):
+            driver.run(f'j{number}', spec())
+            decisions += driver.fail(f'j{number}', nothing_ran=True)
+        (finish,) = [one for one in decisions if isinstance(one, Finish)]
+        assert finish.job == 'j10' and not finish.ran
+        assert finish.outcome is Outcome.NOT_RUN
+
+    def test_lost_worker_stops_the_whole_gang(self) -> None:
+        """The rest of a gang would hold accelerators for nothing."""
+        driver = two_zones()
+        driver.run('j', spec(members=2, size=8))
+        worker = driver.placed['j'].placement.members[1].worker
+        assert stops(driver.worker(worker, healthy=False)) == {'j'}
+
     def test_non_idempotent_job_runs_once(self) -> None:
         """A reorder batch that ran twice cost a client money."""
         driver = two_zones()
