--- a/mangotrail/_inventory.py
+++ b/mangotrail/_inventory.py
@@ -3,6 +3,7 @@
 from mangotrail._core import Core
 from mangotrail._ending import finish_waiting
 from mangotrail._jobs import Job
+from mangotrail._quarantine import forget_missing
 from mangotrail.events import BundleApplied, WorkersReported
 from mangotrail.placement import zones_that_hold
 from mangotrail.topology import Spot, Topology, Worker, spots_of
@@ -20,6 +21,7 @@
         core.topology = Topology(event.bundle)
         if old is not None:
             _take_over(core, old, core.topology)
+        forget_missing(core)
     assert core.topology is not None
     core.shares.apply(
         list(event.bundle.accounts),
@@ -39,6 +41,7 @@
     for zone_id, zone in old.zones.items():
         if zone_id in new.zones:
             new.zones[zone_id].state = zone.state
+            new.zones[zone_id].leave_by_s = zone.leave_by_s
             new.zones[zone_id].ramp_left = zone.ramp_left
             new.zones[zone_id].ramp_ends_s = zone.ramp_ends_s
     for worker_id, worker in old.workers.items():
--- a/mangotrail/_jobs.py
+++ b/mangotrail/_jobs.py
@@ -5,7 +5,7 @@
 
 from mangotrail._messages import JobShape, JobSpec, Placement
 from mangotrail.estimates import Kind
-from mangotrail.ids import AccountId, JobId, ServiceId
+from mangotrail.ids import AccountId, JobId, ServiceId, WorkerId
 from mangotrail.topology import Spot
 
 
@@ -20,13 +20,17 @@
 
 
 class QueueKey(NamedTuple):
-    """Jobs of one account with equal keys can be placed alike."""
+    """Jobs of one account with equal keys can be placed alike.
+
+    :param length: binary order of the learned run time in seconds, 0 if
+        nothing was learned.
+    """
 
     urgent: bool
     shape: JobShape
     pinned: bool
     service: ServiceId
-    job_kind: str
+    length: int
 
 
 class Job:
@@ -54,7 +58,11 @@
         'started_s',
         'charged',
         'wait_reason',
-        'throttled_s',
+        'share',
+        'settled_s',
+        'avoided',
+        'queued_s',
+        'length',
         'moves',
     )
 
@@ -82,7 +90,14 @@
         # Accelerators held outside the account's own guarantee.
         self.charged = 0.0
         self.wait_reason = ''
-        self.throttled_s = 0.0
+        # Share of the last throttle, 0 without one, and the running time
+        # from which measured usage shows its effect.
+        self.share = 0.0
+        self.settled_s = 0.0
+        # Workers on which an attempt failed.
+        self.avoided: frozenset[WorkerId] = frozenset()
+        self.queued_s = submitted_s
+        self.length = 0
         # Choices tried so far to move homes of cells away.
         self.moves = 0
 
@@ -119,5 +134,5 @@
             shape=self.spec.shape,
             pinned=self.pinned,
             service=self.spec.service,
-            job_kind=self.spec.job_kind,
+            length=self.length,
         )
