--- a/mangotrail/_server.py
+++ b/mangotrail/_server.py
@@ -188,6 +188,7 @@
         log_config=None,
         access_log=False,
         server_header=False,
+        proxy_headers=False,
         timeout_keep_alive=KEEP_ALIVE_S,
         timeout_graceful_shutdown=bounds.drain_timeout_s,
     )
