Open the link's socket only in its task

A gateway that was cancelled before its link started left an open socket behind, and the interpreter waited for it at its end. The task that owns the socket now creates it. Refusals of enumerations name their values.

--- a/mangotrail/_http_common.py
+++ b/mangotrail/_http_common.py
@@ -177,10 +177,10 @@
     try:
         return msgspec.convert(document, into)
     except msgspec.ValidationError as error:
-        raise _invalid(str(error), document) from error
+        raise _invalid(str(error), document, into) from error
 
 
-def _invalid(message: str, document: object) -> InvalidInputError:
+def _invalid(message: str, document: object, into: type) -> InvalidInputError:
     path = PATH_PATTERN.search(message)
     problem = PATH_PATTERN.sub('', message)
     location = path.group(1) if path else ''
@@ -200,11 +200,28 @@
         f'{problem}.',
         field=location or 'body',
         value=_value_at(document, location),
-        allowed=(expected.group(1) if expected else problem).replace('`', ''),
+        allowed=(
+            expected.group(1).replace('`', '')
+            if expected
+            else _enum_values(into, location)
+        ),
         remedy='Correct the value.',
     )
 
 
+def _enum_values(into: type, path: str) -> str:
+    """Return the values of the enumeration at a path, empty if it is none."""
+    found = msgspec.inspect.type_info(into)
+    for step in STEP_PATTERN.findall(path):
+        if not isinstance(found, msgspec.inspect.StructType):
+            return ''
+        types = {field.encode_name: field.type for field in found.fields}
+        found = types.get(step, msgspec.inspect.AnyType())
+    if not isinstance(found, msgspec.inspect.EnumType):
+        return ''
+    return ', '.join(str(member.value) for member in found.cls)
+
+
 def _value_at(document: object, path: str) -> object:
     for step in STEP_PATTERN.findall(path):
         if isinstance(document, dict):
--- a/mangotrail/link.py
+++ b/mangotrail/link.py
@@ -58,8 +58,7 @@
         self._pending: dict[int, asyncio.Future[ReplyBody]] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(GatewayMessage)
-        self._context = zmq.asyncio.Context()
-        self._socket = self._context.socket(zmq.DEALER)
+        self._socket: zmq.asyncio.Socket | None = None
 
     def is_connected(self) -> bool:
         """Return whether the control process accepts calls."""
@@ -67,7 +66,8 @@
 
     async def run(self) -> None:
         """Connect and receive until cancelled."""
-        link = self._socket
+        context = zmq.asyncio.Context()
+        link = context.socket(zmq.DEALER)
         # Without a finished connection a send fails at once, which proves
         # that the call has not been handed over.
         link.setsockopt(zmq.IMMEDIATE, 1)
@@ -81,14 +81,16 @@
         host = self.address.host
         host = f'[{host}]' if ':' in host else host
         link.connect(f'tcp://{host}:{self.address.port}')
+        self._socket = link
         try:
             async with asyncio.TaskGroup() as group:
-                group.create_task(self._receive())
+                group.create_task(self._receive(link))
                 group.create_task(self._watch(monitor))
         finally:
+            self._socket = None
             link.disable_monitor()
             link.close()
-            self._context.destroy(linger=0)
+            context.destroy(linger=0)
 
     async def call(self, body: CallBody, *, timeout_s: float) -> ReplyBody:
         """Send a call and return the body of its reply."""
@@ -118,6 +120,8 @@
 
     async def _send(self, frame: bytes) -> None:
         try:
+            if self._socket is None:
+                raise zmq.Again
             await self._socket.send(frame, zmq.NOBLOCK)
         except zmq.ZMQError as error:
             raise UnavailableError(
@@ -125,9 +129,9 @@
                 remedy='Send the request to another instance.',
             ) from error
 
-    async def _receive(self) -> None:
+    async def _receive(self, link: zmq.asyncio.Socket) -> None:
         while True:
-            frame = await self._socket.recv()
+            frame = await link.recv()
             try:
                 message = self._decoder.decode(frame)
             except msgspec.DecodeError as error:
