--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -120,6 +120,8 @@
 class Site:
     """One gateway with all that it talks to."""
 
+    running: asyncio.Task[None]
+
     def __init__(self, control: FakeControl, gateway: Gateway) -> None:
         self.control = control
         self.gateway = gateway
@@ -217,7 +219,7 @@
     )
     gateway = Gateway(settings=settings, credentials=CREDENTIALS, clock=clock)
     site = Site(control, gateway)
-    running = asyncio.create_task(gateway.run())
+    site.running = asyncio.create_task(gateway.run())
     paths = PlatformPaths(platform=site.platform)
     expiring = asyncio.create_task(expire_leases(site.platform))
     async with (
@@ -230,8 +232,8 @@
         yield site
         gateway.server.force_exit = True
         gateway.status.closing.set()
-        running.cancel()
-        await asyncio.wait((running,))
+        site.running.cancel()
+        await asyncio.wait((site.running,))
     expiring.cancel()
     control.close()
 
