Let excess use slow the neighbours in the replay

Cause: reported cores ignored a throttle, so a policy that throttles by cores throttled again and again; and excess use cost nobody anything, so a throttle could only harm. Change: reported use follows the throttle; what a job uses above its size is taken evenly from everything on its worker.

--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -109,6 +109,7 @@
     zone: ZoneId
     rack: str
     accelerators: int
+    cores: int
     slots: int
     connections: int
     condition: WorkerCondition = WorkerCondition.HEALTHY
@@ -116,6 +117,13 @@
     held: set[int] = field(default_factory=set)
     used_slots: int = 0
     used_connections: int = 0
+    excess: float = 0
+
+    def part(self, accelerators: int) -> float:
+        """Share of the worker that belongs to a member."""
+        if accelerators:
+            return accelerators / self.accelerators
+        return 1 / self.slots
 
 
 @dataclass(slots=True, eq=False)
@@ -127,6 +135,7 @@
     placement: Placement
     started_s: float | None = None
     settled_s: float = 0
+    share: float = math.inf
     rate: float = 1
     finish_token: int = 0
     stopping: bool = False
@@ -265,6 +274,7 @@
                         zone=zone.zone,
                         rack=f'{zone.zone}/{rack.rack}',
                         accelerators=rack.accelerators,
+                        cores=rack.cores,
                         slots=zone.slots,
                         connections=zone.connections,
                     )
@@ -519,9 +529,8 @@
                 job=job,
                 attempt=attempt.number,
                 measured_s=measured - attempt.started_s,
-                cores=attempt.run.job_spec.shape.members
-                * attempt.run.line.size,
-                accelerator_share=attempt.run.line.size * attempt.rate,
+                cores=self.used(attempt) * self.declared_cores(attempt),
+                accelerator_share=self.used(attempt),
             )
             for job, attempt in self.attempts.items()
             if attempt.started_s is not None and attempt.started_s < measured
@@ -530,6 +539,55 @@
             self.deliver(UsageReported(usage=usage))
         self.after(header.usage_every_s, self.report_usage)
 
+    def used(self, attempt: Attempt) -> float:
+        """What an attempt uses as a multiple of its declared size."""
+        return min(attempt.run.line.size, attempt.share)
+
+    def declared_cores(self, attempt: Attempt) -> float:
+        """Cores that belong to all members of a gang."""
+        cores = 0.0
+        for member in attempt.placement.members:
+            worker = self.workers[member.worker]
+            cores += worker.cores * worker.part(len(member.accelerators))
+        return cores
+
+    def strain(self, attempt: Attempt, sign: int) -> None:
+        """Add or remove what an attempt uses above its size.
+
+        The excess is taken evenly from everything on the same worker, and
+        the slowest member sets the pace of a gang.
+        """
+        excess = max(0.0, self.used(attempt) - 1)
+        if not excess or attempt.started_s is None:
+            return
+        strained = []
+        for member in attempt.placement.members:
+            worker = self.workers[member.worker]
+            part = worker.part(len(member.accelerators))
+            worker.excess = max(0.0, worker.excess + sign * part * excess)
+            strained.append(worker)
+        touched = {
+            other.run.line.job: other
+            for worker in strained
+            for other in self.attempts_on(worker)
+        }
+        for other in touched.values():
+            self.set_rate(other)
+
+    def set_rate(self, attempt: Attempt) -> None:
+        """Set the pace of an attempt and plan its end again."""
+        worst = max(
+            self.workers[member.worker].excess
+            for member in attempt.placement.members
+        )
+        size = attempt.run.line.size
+        rate = min(1.0, attempt.share / size) / (1 + worst)
+        if attempt.started_s is None or rate == attempt.rate:
+            return
+        self.settle(attempt)
+        attempt.rate = rate
+        self.plan_finish(attempt)
+
     # Decisions.
 
     def apply(self, decision: Decision) -> None:
@@ -709,10 +767,10 @@
         if attempt is None:
             return
         self.tallies.throttles += 1
-        self.settle(attempt)
-        attempt.rate = min(1.0, decision.share / attempt.run.line.size)
-        if attempt.started_s is not None:
-            self.plan_finish(attempt)
+        self.strain(attempt, -1)
+        attempt.share = decision.share
+        self.strain(attempt, 1)
+        self.set_rate(attempt)
 
     def finish(self, decision: Finish) -> None:
         """The policy gives a job no further attempt."""
@@ -756,6 +814,8 @@
         if run.started_s is None:
             run.started_s = self.now_s
         self.plan_finish(attempt)
+        self.set_rate(attempt)
+        self.strain(attempt, 1)
         for worker in members:
             if worker.condition == WorkerCondition.FAILS_ALL:
                 self.plan_worker_fault(attempt, worker)
@@ -842,6 +902,7 @@
 
     def release(self, attempt: Attempt) -> None:
         """Give the resources of an attempt back."""
+        self.strain(attempt, -1)
         attempt.ended = True
         attempt.run.attempt = None
         self.attempts.pop(attempt.run.line.job)
