--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -40,6 +40,8 @@
 POLL_S = 0.1
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
+# A gateway keeps attempts that nobody adopts; at the end nobody will.
+CLOSE_TIMEOUT_S = 3.0
 ROOT = Path(__file__).resolve().parent.parent
 
 
@@ -372,7 +374,7 @@
             process.terminate()
         for process in self.processes.values():
             try:
-                process.wait(STOP_TIMEOUT_S)
+                process.wait(CLOSE_TIMEOUT_S)
             except subprocess.TimeoutExpired:
                 process.kill()
                 process.wait()
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -24,7 +24,6 @@
     SubmitJob,
     WriteBundle,
 )
-from mangotrail.bundle import bundle_digest
 from mangotrail.ids import (
     AccountId,
     EndpointId,
@@ -115,17 +114,22 @@
     def put_in_force(self, bundle: Bundle) -> None:
         """Write, sign and roll out a bundle."""
         version = self.state.newest_version() + 1
-        digest = bundle_digest(bundle)
         self.write(bundle, version - 1, f'write-{version}')
-        for step in (SignBundle, RollOutBundle):
-            self.apply(
-                step(
-                    operation=OperationId(f'{step.__name__}-{version}'),
-                    operator='ayla',
-                    version=version,
-                    digest=digest,
-                )
+        self.step(SignBundle, version)
+        self.step(RollOutBundle, version)
+
+    def step(
+        self, command: type[SignBundle | RollOutBundle], version: int
+    ) -> CommandResult:
+        """Sign or roll out a version."""
+        return self.apply(
+            command(
+                operation=OperationId(f'{command.__name__}-{version}'),
+                operator='ayla',
+                version=version,
+                digest=self.state.bundles[version].digest,
             )
+        )
 
     def announce(self, generation: int = 1) -> CommandResult:
         """Announce the endpoint."""
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -13,7 +13,9 @@
     LeaveEndpoint,
     Outcome,
     RequeueJob,
+    RollOutBundle,
     SetZone,
+    SignBundle,
     StartJob,
     SubmitJob,
     ZoneState,
@@ -72,6 +74,19 @@
         assert driver.state.bundle_version == 2
         assert driver.state.bundles[1].state is BundleState.SUPERSEDED
 
+    def test_late_roll_out(self) -> None:
+        """A signed older version must not replace a newer one in force."""
+        driver = StateDriver()
+        for version in (1, 2):
+            bundle = make_bundle(weight=version)
+            driver.write(bundle, version - 1, f'write-{version}')
+            driver.step(SignBundle, version)
+        driver.step(RollOutBundle, 2)
+        late = driver.step(RollOutBundle, 1)
+        assert isinstance(late, Failure)
+        assert late.code == 'bundle_state'
+        assert driver.state.bundle_version == 2
+
     def test_snapshot_restores_everything(self) -> None:
         """A member that starts from a snapshot must not lose accepted state."""
         driver = ready_driver()
