--- a/examples/demo.py
+++ b/examples/demo.py
@@ -23,7 +23,6 @@
 )
 
 BUNDLE = Path('examples/bundles/tuylu_dal.json')
-BASE_PORT = 24100
 JOBS = 36
 ANSWER_TIMEOUT_S = 40.0
 EVACUATION_TIMEOUT_S = 15.0
@@ -158,9 +157,7 @@
 def main() -> int:
     """Run the demo and stop all it started."""
     with tempfile.TemporaryDirectory(prefix='mangotrail-demo-') as folder:
-        deployment = LocalDeployment(
-            Path(folder) / 'demo', bundle_path=BUNDLE, base_port=BASE_PORT
-        )
+        deployment = LocalDeployment(Path(folder) / 'demo', bundle_path=BUNDLE)
         try:
             summary = run_demo(deployment)
         finally:
--- a/examples/deployment.py
+++ b/examples/deployment.py
@@ -8,6 +8,7 @@
 import os
 import shutil
 import signal
+import socket
 import subprocess  # noqa: S404 - only starts this project's own programs
 import sys
 import time
@@ -38,6 +39,10 @@
 Process: TypeAlias = subprocess.Popen[bytes]
 
 POLL_S = 0.1
+HOST = '127.0.0.1'
+FIRST_PORT = 20000
+LAST_PORT = 28000
+PORT_BLOCK = 100
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 15.0
 # A gateway keeps attempts that nobody adopts; at the end nobody will.
@@ -86,12 +91,35 @@
     urllib.request.urlopen(request, timeout=5).close()
 
 
+def find_ports() -> int:
+    """Return the first of a block of ports that nobody listens on.
+
+    Two deployments that run at once must not share ports. The blocks lie
+    below the ports that the system gives to outgoing connections.
+
+    :raises ConditionTimeoutError: if no block is free.
+    """
+    blocks = list(range(FIRST_PORT, LAST_PORT, PORT_BLOCK))
+    shift = os.getpid() % len(blocks)
+    for first in (*blocks[shift:], *blocks[:shift]):
+        ports = range(first, first + PORT_BLOCK)
+        if not any(is_listened_on(port) for port in ports):
+            return first
+    raise ConditionTimeoutError('no block of ports is free')
+
+
+def is_listened_on(port: int) -> bool:
+    """Tell whether a process listens on a port of loopback."""
+    with socket.socket() as probe:
+        return probe.connect_ex((HOST, port)) == 0
+
+
 class LocalDeployment:
     """Six instances with stand-ins on loopback.
 
     :param folder: folder for all files; it is replaced.
     :param bundle_path: sample bundle.
-    :param base_port: first of about 40 ports.
+    :param base_port: first of 100 ports; 0 looks for free ones.
     :param disks: instances with disks.
     :param timing: changes of the timing settings, in milliseconds.
     """
@@ -101,14 +129,17 @@
         folder: Path,
         *,
         bundle_path: Path,
-        base_port: int,
+        base_port: int = 0,
         disks: int = 3,
         timing: Mapping[str, int] | None = None,
     ) -> None:
         shutil.rmtree(folder, ignore_errors=True)
         self.folder = folder
         self.plan = make_deployment(
-            folder, bundle_path=bundle_path, base_port=base_port, disks=disks
+            folder,
+            bundle_path=bundle_path,
+            base_port=base_port or find_ports(),
+            disks=disks,
         )
         self.processes: dict[str, Process] = {}
         self.bundle = msgspec.json.decode(
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -16,7 +16,6 @@
 from tests.relay import Relay
 
 BUNDLE = Path('examples/bundles/mokoena.json')
-BASE_PORT = 25300
 TARGET_S = 4.0
 ANSWER_S = 30.0
 
@@ -24,9 +23,7 @@
 @pytest.fixture
 def deployment(tmp_path: Path) -> Iterator[LocalDeployment]:
     """Start a deployment with endpoints for one test."""
-    made = LocalDeployment(
-        tmp_path / 'deployment', bundle_path=BUNDLE, base_port=BASE_PORT
-    )
+    made = LocalDeployment(tmp_path / 'deployment', bundle_path=BUNDLE)
     try:
         yield made
     finally:
--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -33,7 +33,6 @@
 from mangotrail.ids import AccountId, EndpointId, OperationId, RequestId
 
 BUNDLE = Path('examples/bundles/tuylu_dal.json')
-BASE_PORT = 25100
 TARGET_S = 4.0
 ANSWER_S = 30.0
 
@@ -44,9 +43,7 @@
 ) -> Iterator[LocalDeployment]:
     """Start one deployment for all tests of this module."""
     folder = tmp_path_factory.mktemp('promises') / 'deployment'
-    deployment = LocalDeployment(
-        folder, bundle_path=BUNDLE, base_port=BASE_PORT
-    )
+    deployment = LocalDeployment(folder, bundle_path=BUNDLE)
     try:
         deployment.start()
         limits = msgspec.structs.replace(deployment.bundle.limits, reclaim_s=3)
