--- /dev/null
+++ b/mangotrail/_elections.py
@@ -0,0 +1,208 @@
+"""Elections with pre-vote and vote refusal."""
+
+from math import inf
+
+from mangotrail._effects import (
+    Role,
+)
+from mangotrail._member import EVERY_INSTANCE, NOBODY, Member
+from mangotrail._peer import (
+    EntryKind,
+    GroupMember,
+    Join,
+    TransferLeadership,
+    VoteReply,
+    VoteRequest,
+)
+from mangotrail._replication import Replication
+
+JOIN_PERIOD_S = 1.0
+
+
+class Elections(Member):
+    """Terms, votes and the time without a leader."""
+
+    def step_down(self, now_s: float) -> None:
+        """Follow, in the same term."""
+        if self.role is Role.LEADER or self.leader == self.member:
+            self.leader = NOBODY
+        if self.role is not Role.FOLLOWER:
+            self.reset_deadline(now_s)
+        self.role = Role.FOLLOWER
+        self.replication = None
+        self.joined.clear()
+        self.transfer_to = NOBODY
+        self.transfer_until_s = inf
+        self.transfer_sent = False
+        self.votes.clear()
+
+    def enter_term(self, term: int, now_s: float) -> None:
+        """Follow in a later term, whose leader is not known yet."""
+        self.step_down(now_s)
+        self.term = term
+        self.voted_for = NOBODY
+        self.writes.hard_dirty = True
+        self.leader = NOBODY
+        # Every leader of a later term holds all committed entries.
+        self.verified = self.commit
+        self.incoming = None
+        self.probe_s = -inf
+
+    def campaign(
+        self, now_s: float, *, pre_vote: bool, transfer: bool = False
+    ) -> None:
+        """Ask for votes.
+
+        :param transfer: whether the leader handed over to this member.
+        """
+        if not pre_vote:
+            self.enter_term(self.term + 1, now_s)
+            self.voted_for = self.member
+        self.role = Role.CANDIDATE
+        self.leader = NOBODY
+        self.pre_vote = pre_vote
+        # The refusal times of the other voters have mostly passed, so a
+        # retry need not wait for the full timeout again.
+        self.deadline_s = now_s + self.timing.heartbeat_s * (
+            1 + 1.5 * self.random.random()
+        )
+        self.votes = {self.member} if pre_vote else set()
+        self.ask_for_votes(transfer=transfer)
+        self.count_votes(now_s)
+
+    def ask_for_votes(self, *, transfer: bool) -> None:
+        """Send vote requests to the other voters."""
+        for voter in self.config.voters:
+            if voter.member != self.member:
+                self.send(
+                    voter.instance,
+                    VoteRequest(
+                        to=voter.member,
+                        sender=self.member,
+                        term=self.term + self.pre_vote,
+                        instance=self.instance,
+                        last_index=self.log.last_index,
+                        last_term=self.log.last_term,
+                        pre_vote=self.pre_vote,
+                        transfer=transfer,
+                    ),
+                )
+
+    def count_own_vote(self, now_s: float) -> None:
+        """Count the vote for oneself once it is durable."""
+        if (
+            self.role is Role.CANDIDATE
+            and not self.pre_vote
+            and self.writes.hard_durable
+        ):
+            self.votes.add(self.member)
+            self.count_votes(now_s)
+
+    def count_votes(self, now_s: float) -> None:
+        """Go on when a majority of the voters agreed."""
+        voters = {voter.member for voter in self.config.voters}
+        if len(self.votes & voters) * 2 <= len(voters):
+            return
+        if not self.pre_vote:
+            self.lead(now_s)
+        elif not self.heard_recently(now_s):
+            self.campaign(now_s, pre_vote=False)
+
+    def lead(self, now_s: float) -> None:
+        """Become the leader of the term."""
+        self.role = Role.LEADER
+        self.leader = self.member
+        self.votes.clear()
+        self.deadline_s = inf
+        self.replication = Replication(
+            own=GroupMember(member=self.member, instance=self.instance),
+            term=self.term,
+            log=self.log,
+            timing=self.timing,
+            now_s=now_s,
+        )
+        # Entries of earlier terms are committed only through an entry of
+        # the own term (section 5.4.2 of the paper).
+        self.no_op_index = self.append(EntryKind.NO_OP, b'')[0]
+
+    def tick_follower(self, now_s: float) -> None:
+        """Campaign and ask to join when no leader is heard."""
+        if now_s < self.deadline_s:
+            return
+        self.leader = NOBODY
+        if self.may_campaign:
+            self.campaign(now_s, pre_vote=True)
+        else:
+            self.deadline_s = now_s + JOIN_PERIOD_S
+        # Also asked by a member that still counts itself in: its removal may
+        # be in entries that it never received.
+        if now_s - self.join_sent_s >= JOIN_PERIOD_S:
+            self.join_sent_s = now_s
+            self.send(
+                EVERY_INSTANCE,
+                Join(
+                    to=NOBODY,
+                    sender=self.member,
+                    term=self.term,
+                    instance=self.instance,
+                ),
+            )
+
+    def on_vote_request(self, request: VoteRequest, now_s: float) -> None:
+        """Grant a vote, a pre-vote, or refuse."""
+        up_to_date = (request.last_term, request.last_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
+        refused = not self.can_vote or (
+            self.heard_recently(now_s) and not request.transfer
+        )
+        if refused or request.term < self.term:
+            self.counters['vote_refused'] += 1
+            granted = False
+        elif request.pre_vote:
+            granted = up_to_date and request.term > self.term
+        else:
+            if request.term > self.term:
+                self.enter_term(request.term, now_s)
+            granted = up_to_date and self.voted_for in {NOBODY, request.sender}
+            if granted and self.voted_for == NOBODY:
+                self.voted_for = request.sender
+                self.writes.hard_dirty = True
+                self.reset_deadline(now_s)
+        self.send(
+            request.instance,
+            VoteReply(
+                to=request.sender,
+                sender=self.member,
+                term=self.term,
+                asked_term=request.term,
+                pre_vote=request.pre_vote,
+                granted=granted,
+            ),
+        )
+
+    def on_vote_reply(self, reply: VoteReply, now_s: float) -> None:
+        """Count a vote."""
+        if reply.term > self.term:
+            self.enter_term(reply.term, now_s)
+        elif (
+            self.role is not Role.CANDIDATE
+            or reply.pre_vote != self.pre_vote
+            or reply.asked_term != self.term + self.pre_vote
+        ):
+            self.counters['outdated'] += 1
+        elif reply.granted:
+            self.votes.add(reply.sender)
+            self.count_votes(now_s)
+
+    def on_transfer(self, message: TransferLeadership, now_s: float) -> None:
+        """Campaign at once, because the leader gave up its authority."""
+        if (
+            message.term == self.term
+            and message.sender == self.leader
+            and self.may_campaign
+        ):
+            self.campaign(now_s, pre_vote=False, transfer=True)
+        else:
+            self.counters['outdated'] += 1
--- /dev/null
+++ b/mangotrail/_following.py
@@ -0,0 +1,156 @@
+"""The follower's side of the replication."""
+
+from mangotrail._effects import (
+    Role,
+    Snapshot,
+)
+from mangotrail._elections import Elections
+from mangotrail._incoming import (
+    IncomingSnapshot,
+    is_well_formed,
+)
+from mangotrail._log import Log
+from mangotrail._peer import (
+    Append,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+)
+
+
+class Following(Elections):
+    """Entries and snapshots from the leader of the term."""
+
+    def hear_leader(
+        self, message: Append | SnapshotChunk, now_s: float
+    ) -> bool:
+        """Follow the sender; False if its term has passed."""
+        if message.term < self.term:
+            self.counters['outdated'] += 1
+            self.reject(message, 0)
+            return False
+        if message.term > self.term:
+            self.enter_term(message.term, now_s)
+        if self.role is Role.LEADER:
+            # Two leaders in a term: an identity was used twice.
+            self.counters['second_leader'] += 1
+            return False
+        self.step_down(now_s)
+        self.leader = message.sender
+        self.heard_s = now_s
+        self.leader_instance = message.instance
+        self.probe_s = max(message.probe_s, self.probe_s)
+        self.reset_deadline(now_s)
+        return True
+
+    def on_append(self, message: Append, now_s: float) -> None:
+        """Take in entries or a heartbeat."""
+        if not is_well_formed(message):
+            self.counters['malformed'] += 1
+            return
+        if not self.hear_leader(message, now_s):
+            return
+        previous = message.previous_index
+        held_term = self.log.term_at(previous)
+        if previous >= self.commit and held_term != message.previous_term:
+            hint = min(self.log.last_index, previous - 1)
+            if held_term is not None:
+                hint = self.log.first_of_term(previous) - 1
+            self.reject(message, max(hint, self.commit))
+            return
+        for entry in message.entries:
+            if entry.index <= self.commit:
+                continue
+            if self.log.term_at(entry.index) == entry.term:
+                continue
+            if entry.index <= self.log.last_index:
+                self.log.truncate(entry.index)
+                self.writes.truncate(entry.index)
+            self.log.append(entry)
+        last = previous + len(message.entries)
+        self.verified = max(self.verified, last)
+        self.commit = max(self.commit, min(message.commit, last))
+        self.acknowledge()
+
+    def acknowledge(self) -> None:
+        """Tell the leader how much of its log is durable here."""
+        self.send(
+            self.leader_instance,
+            AppendReply(
+                to=self.leader,
+                sender=self.member,
+                term=self.term,
+                accepted=True,
+                previous_index=0,
+                match_index=min(self.verified, self.writes.durable_index),
+                probe_s=self.probe_s,
+            ),
+        )
+
+    def reject(self, message: Append | SnapshotChunk, hint: int) -> None:
+        """Refuse a message and say up to where the log may match."""
+        previous = (
+            message.previous_index
+            if isinstance(message, Append)
+            else message.meta.index
+        )
+        self.send(
+            message.instance,
+            AppendReply(
+                to=message.sender,
+                sender=self.member,
+                term=self.term,
+                accepted=False,
+                previous_index=previous,
+                match_index=hint,
+                probe_s=message.probe_s,
+            ),
+        )
+
+    def on_chunk(self, chunk: SnapshotChunk, now_s: float) -> None:
+        """Take in part of a snapshot."""
+        if not self.hear_leader(chunk, now_s):
+            return
+        index = chunk.meta.index
+        if index <= self.commit or self.log.term_at(index) == chunk.meta.term:
+            # A late chunk must not drop entries that were acknowledged since.
+            self.verified = max(self.verified, index)
+            self.commit = max(self.commit, index)
+            self.acknowledge()
+            return
+        if self.incoming is None or not self.incoming.matches(chunk):
+            self.incoming = IncomingSnapshot(chunk)
+        self.incoming.add(chunk)
+        offset = len(self.incoming.body)
+        if self.incoming.is_whole:
+            if self.incoming.is_intact:
+                self.replace_log(self.incoming)
+                return
+            self.counters['damaged_snapshot'] += 1
+            self.incoming = None
+            offset = 0
+        self.send(
+            chunk.instance,
+            SnapshotReply(
+                to=chunk.sender,
+                sender=self.member,
+                term=self.term,
+                index=chunk.meta.index,
+                offset=offset,
+                probe_s=chunk.probe_s,
+            ),
+        )
+
+    def replace_log(self, incoming: IncomingSnapshot) -> None:
+        """Replace log and state; acknowledged when the snapshot is durable."""
+        meta = incoming.meta
+        self.incoming = None
+        self.log = Log(base=meta)
+        self.snapshot = meta
+        self.install = Snapshot(meta=meta, body=bytes(incoming.body))
+        self.writes.replace(meta.index)
+        self.commit = meta.index
+        self.verified = meta.index
+        self.delivered_index = meta.index
+        self.delivered_bytes = 0
+        self.snapshot_asked = meta.index
--- /dev/null
+++ b/mangotrail/_member.py
@@ -0,0 +1,215 @@
+"""State that all parts of the agreement share."""
+
+from collections import Counter
+from math import inf
+from random import Random
+
+from mangotrail._effects import (
+    Outgoing,
+    Role,
+    Snapshot,
+    Timing,
+)
+from mangotrail._incoming import (
+    IncomingSnapshot,
+)
+from mangotrail._log import Log
+from mangotrail._peer import (
+    EntryKind,
+    GroupConfig,
+    HardState,
+    LogEntry,
+    PeerMessage,
+    SnapshotMeta,
+)
+from mangotrail._replication import Replication
+from mangotrail._writes import Writes
+from mangotrail.ids import InstanceId, MemberId
+
+NOBODY = MemberId('')
+EVERY_INSTANCE = InstanceId('')
+SNAPSHOT_ENTRIES = 1000
+SNAPSHOT_BYTES = 4_000_000
+
+
+class Member:
+    """Log, term, role, writes and queued messages of one member.
+
+    The subclasses share this state, because in Raft each part reads the others.
+    See ``Agreement`` for the parameters.
+    """
+
+    def __init__(
+        self,
+        *,
+        member: MemberId,
+        instance: InstanceId,
+        log: tuple[LogEntry, ...],
+        hard_state: HardState,
+        config: GroupConfig,
+        seed: int,
+        snapshot: SnapshotMeta | None = None,
+        timing: Timing | None = None,
+        can_vote: bool = True,
+    ) -> None:
+        self.member = member
+        self.instance = instance
+        self.timing = timing or Timing()
+        self.can_vote = can_vote
+        self.random = Random(seed)
+        self.counters: Counter[str] = Counter()
+
+        self.snapshot = snapshot
+        base = snapshot or SnapshotMeta(index=0, term=0, config=config)
+        self.log = Log(base=base, entries=log)
+        self.term = max(hard_state.term, self.log.last_term)
+        self.voted_for = (
+            hard_state.voted_for if hard_state.term == self.term else NOBODY
+        )
+        self.commit = base.index
+        self.snapshot_asked = base.index
+
+        self.role = Role.FOLLOWER
+        self.leader = NOBODY
+        # None until the first call. Then it is set as if a leader had just
+        # been heard, because a restart forgets whether one was.
+        self.heard_s: float | None = None
+        self.deadline_s = inf
+        self.join_sent_s = -inf
+        self.votes: set[MemberId] = set()
+        self.pre_vote = False
+        # The log agrees with the leader of the term up to here.
+        self.verified = base.index
+        self.incoming: IncomingSnapshot | None = None
+        self.leader_instance = EVERY_INSTANCE
+        # Newest sending time heard from the leader of the term.
+        self.probe_s = -inf
+
+        self.replication: Replication | None = None
+        self.no_op_index = 0
+        self.joined: dict[InstanceId, tuple[MemberId, float]] = {}
+        self.transfer_to = NOBODY
+        self.transfer_until_s = inf
+        self.transfer_sent = False
+
+        self.writes = Writes(last_index=self.log.last_index)
+        self.install: Snapshot | None = None
+        self.outbox: list[Outgoing] = []
+        self.withheld: list[Outgoing] = []
+        self.delivered_index = base.index
+        self.delivered_bytes = 0
+
+    @property
+    def config(self) -> GroupConfig:
+        """Newest configuration in the log, committed or not."""
+        return self.log.config
+
+    @property
+    def members(self) -> frozenset[MemberId]:
+        """Voters and learners of the newest configuration."""
+        return frozenset(
+            named.member
+            for named in (*self.config.voters, *self.config.learners)
+        )
+
+    @property
+    def is_voter(self) -> bool:
+        """Whether this member counts in the newest configuration."""
+        return any(voter.member == self.member for voter in self.config.voters)
+
+    @property
+    def may_campaign(self) -> bool:
+        """Whether this member may become leader.
+
+        A member whose removal is not known to be committed still may: it can
+        be the only one with a log that is long enough to win.
+        """
+        configs = [
+            config for index, config in self.log.configs if index > self.commit
+        ]
+        return self.can_vote and any(
+            voter.member == self.member
+            for config in (*configs, self.log.config_at(self.commit))
+            for voter in config.voters
+        )
+
+    @property
+    def is_member(self) -> bool:
+        """Whether the newest configuration names this member."""
+        return self.member in self.members
+
+    def start_clock(self, now_s: float) -> None:
+        """Set the first deadline at the first call."""
+        if self.heard_s is None:
+            self.heard_s = now_s
+            self.reset_deadline(now_s)
+            if not self.is_member:
+                self.deadline_s = now_s
+
+    def reset_deadline(self, now_s: float) -> None:
+        """Wait for a leader for a random time."""
+        self.deadline_s = now_s + self.random.uniform(
+            self.timing.election_min_s, self.timing.election_max_s
+        )
+
+    def heard_recently(self, now_s: float) -> bool:
+        """Whether a leader may still hold authority through this member."""
+        if self.replication is not None:
+            heard_s = max(
+                self.replication.elected_s, self.replication.contact_s(now_s)
+            )
+        else:
+            heard_s = self.heard_s if self.heard_s is not None else now_s
+        return now_s - heard_s < self.timing.election_min_s
+
+    def append(self, kind: EntryKind, payload: bytes) -> tuple[int, int]:
+        """Append an entry of the own term."""
+        index = self.log.last_index + 1
+        self.log.append(
+            LogEntry(index=index, term=self.term, kind=kind, payload=payload)
+        )
+        return index, self.term
+
+    def send(self, instance: InstanceId, message: PeerMessage) -> None:
+        """Queue a message."""
+        self.outbox.append(Outgoing(instance=instance, message=message))
+
+    def releasable(self) -> list[Outgoing]:
+        """Return the messages whose term and vote are durable."""
+        # Messages of a term that has passed are of no use to anyone.
+        self.withheld = [
+            out
+            for out in (*self.withheld, *self.outbox)
+            if out.message.term >= self.term
+        ]
+        self.outbox.clear()
+        if not self.writes.hard_durable:
+            return []
+        released = self.withheld
+        self.withheld = []
+        return released
+
+    def deliver(self) -> tuple[LogEntry, ...]:
+        """Return the committed entries that were not returned before."""
+        if self.role is Role.STOPPED or self.commit <= self.delivered_index:
+            return ()
+        entries = tuple(self.log.slice(self.delivered_index + 1, self.commit))
+        self.delivered_index = self.commit
+        self.delivered_bytes += sum(len(entry.payload) for entry in entries)
+        return entries
+
+    def snapshot_due(self) -> SnapshotMeta | None:
+        """Return the place of a snapshot when enough was delivered."""
+        index = self.delivered_index
+        if (
+            index - self.snapshot_asked < SNAPSHOT_ENTRIES
+            and self.delivered_bytes < SNAPSHOT_BYTES
+        ):
+            return None
+        self.snapshot_asked = index
+        self.delivered_bytes = 0
+        return SnapshotMeta(
+            index=index,
+            term=self.log.term_at(index) or 0,
+            config=self.log.config_at(index),
+        )
--- a/mangotrail/agreement.py
+++ b/mangotrail/agreement.py
@@ -6,10 +6,8 @@
 does input or output: the driver passes the time in and carries out `Effects`.
 """
 
-from collections import Counter
 from collections.abc import Mapping
 from math import inf
-from random import Random
 
 import msgspec
 
@@ -21,18 +19,16 @@
     SnapshotPart,
     Timing,
 )
+from mangotrail._following import Following
 from mangotrail._incoming import (
-    IncomingSnapshot,
     config_refusal,
-    is_well_formed,
 )
-from mangotrail._log import Log
+from mangotrail._member import NOBODY
 from mangotrail._peer import (
     Append,
     AppendReply,
     EntryKind,
     GroupConfig,
-    GroupMember,
     HardState,
     Join,
     LogEntry,
@@ -45,7 +41,6 @@
     VoteRequest,
 )
 from mangotrail._replication import Replication
-from mangotrail._writes import Writes
 from mangotrail.errors import (
     MembershipError,
     NotLeaderError,
@@ -53,17 +48,22 @@
 )
 from mangotrail.ids import InstanceId, MemberId
 
-NOBODY = MemberId('')
-EVERY_INSTANCE = InstanceId('')
-SNAPSHOT_ENTRIES = 1000
-SNAPSHOT_BYTES = 4_000_000
+__all__ = (
+    'Agreement',
+    'Effects',
+    'Outgoing',
+    'Role',
+    'Snapshot',
+    'SnapshotPart',
+    'Timing',
+)
+
 # Bounds the memory of a leader that cannot commit.
 UNCOMMITTED_ENTRIES = 2048
-JOIN_PERIOD_S = 1.0
 JOIN_EXPIRY_S = 5.0
 
 
-class Agreement:
+class Agreement(Following):
     """One member of the group.
 
     :param member: id of this member; a new data folder needs a new id.
@@ -79,107 +79,6 @@
     :raises ValueError: if the log does not follow the snapshot.
     """
 
-    def __init__(
-        self,
-        *,
-        member: MemberId,
-        instance: InstanceId,
-        log: tuple[LogEntry, ...],
-        hard_state: HardState,
-        config: GroupConfig,
-        seed: int,
-        snapshot: SnapshotMeta | None = None,
-        timing: Timing | None = None,
-        can_vote: bool = True,
-    ) -> None:
-        self.member = member
-        self.instance = instance
-        self.timing = timing or Timing()
-        self.can_vote = can_vote
-        self.random = Random(seed)
-        self.counters: Counter[str] = Counter()
-
-        self.snapshot = snapshot
-        base = snapshot or SnapshotMeta(index=0, term=0, config=config)
-        self.log = Log(base=base, entries=log)
-        self.term = max(hard_state.term, self.log.last_term)
-        self.voted_for = (
-            hard_state.voted_for if hard_state.term == self.term else NOBODY
-        )
-        self.commit = base.index
-        self.snapshot_asked = base.index
-
-        self.role = Role.FOLLOWER
-        self.leader = NOBODY
-        # None until the first call. Then it is set as if a leader had just
-        # been heard, because a restart forgets whether one was.
-        self.heard_s: float | None = None
-        self.deadline_s = inf
-        self.join_sent_s = -inf
-        self.votes: set[MemberId] = set()
-        self.pre_vote = False
-        # The log agrees with the leader of the term up to here.
-        self.verified = base.index
-        self.incoming: IncomingSnapshot | None = None
-        self.leader_instance = EVERY_INSTANCE
-        # Newest sending time heard from the leader of the term.
-        self.probe_s = -inf
-
-        self.replication: Replication | None = None
-        self.no_op_index = 0
-        self.joined: dict[InstanceId, tuple[MemberId, float]] = {}
-        self.transfer_to = NOBODY
-        self.transfer_until_s = inf
-        self.transfer_sent = False
-
-        self.writes = Writes(last_index=self.log.last_index)
-        self.install: Snapshot | None = None
-        self.outbox: list[Outgoing] = []
-        self.withheld: list[Outgoing] = []
-        self.delivered_index = base.index
-        self.delivered_bytes = 0
-
-    # Questions of the driver.
-
-    @property
-    def config(self) -> GroupConfig:
-        """Newest configuration in the log, committed or not."""
-        return self.log.config
-
-    @property
-    def members(self) -> frozenset[MemberId]:
-        """Voters and learners of the newest configuration."""
-        return frozenset(
-            named.member
-            for named in (*self.config.voters, *self.config.learners)
-        )
-
-    @property
-    def is_voter(self) -> bool:
-        """Whether this member counts in the newest configuration."""
-        return any(voter.member == self.member for voter in self.config.voters)
-
-    @property
-    def may_campaign(self) -> bool:
-        """Whether this member may become leader.
-
-        A member whose removal is not known to be committed still may: it can
-        be the only one with a log that is long enough to win.
-        """
-        configs = [
-            config for index, config in self.log.configs if index > self.commit
-        ]
-        return self.can_vote and any(
-            voter.member == self.member
-            for config in (*configs, self.log.config_at(self.commit))
-            for voter in config.voters
-        )
-
-    @property
-    def is_member(self) -> bool:
-        """Whether the newest configuration names this member."""
-        return self.member in self.members
-
     @property
     def wake_s(self) -> float:
         """Time at which the next ``tick`` is due."""
@@ -229,8 +128,6 @@
         )
         return msgspec.structs.replace(chunk, message=message)
 
-    # Calls that change the state.
-
     def tick(self, now_s: float) -> Effects:
         """Do what time requires; also sends what was proposed."""
         self.start_clock(now_s)
@@ -347,32 +244,6 @@
         self.withheld.clear()
         return self.flush(now_s)
 
-    # Time.
-
-    def start_clock(self, now_s: float) -> None:
-        """Set the first deadline at the first call."""
-        if self.heard_s is None:
-            self.heard_s = now_s
-            self.reset_deadline(now_s)
-            if not self.is_member:
-                self.deadline_s = now_s
-
-    def reset_deadline(self, now_s: float) -> None:
-        """Wait for a leader for a random time."""
-        self.deadline_s = now_s + self.random.uniform(
-            self.timing.election_min_s, self.timing.election_max_s
-        )
-
-    def heard_recently(self, now_s: float) -> bool:
-        """Whether a leader may still hold authority through this member."""
-        if self.replication is not None:
-            heard_s = max(
-                self.replication.elected_s, self.replication.contact_s(now_s)
-            )
-        else:
-            heard_s = self.heard_s if self.heard_s is not None else now_s
-        return now_s - heard_s < self.timing.election_min_s
-
     def tick_leader(self, now_s: float) -> None:
         """Step down without contact or after a transfer that failed."""
         lead = self.replication
@@ -392,136 +263,6 @@
         elif not self.is_voter and self.log.config_index <= self.commit:
             self.start_transfer(now_s, NOBODY)
 
-    def tick_follower(self, now_s: float) -> None:
-        """Campaign and ask to join when no leader is heard."""
-        if now_s < self.deadline_s:
-            return
-        self.leader = NOBODY
-        if self.may_campaign:
-            self.campaign(now_s, pre_vote=True)
-        else:
-            self.deadline_s = now_s + JOIN_PERIOD_S
-        # Also asked by a member that still counts itself in: its removal may
-        # be in entries that it never received.
-        if now_s - self.join_sent_s >= JOIN_PERIOD_S:
-            self.join_sent_s = now_s
-            self.send(
-                EVERY_INSTANCE,
-                Join(
-                    to=NOBODY,
-                    sender=self.member,
-                    term=self.term,
-                    instance=self.instance,
-                ),
-            )
-
-    # Terms and elections.
-
-    def step_down(self, now_s: float) -> None:
-        """Follow, in the same term."""
-        if self.role is Role.LEADER or self.leader == self.member:
-            self.leader = NOBODY
-        if self.role is not Role.FOLLOWER:
-            self.reset_deadline(now_s)
-        self.role = Role.FOLLOWER
-        self.replication = None
-        self.joined.clear()
-        self.transfer_to = NOBODY
-        self.transfer_until_s = inf
-        self.transfer_sent = False
-        self.votes.clear()
-
-    def enter_term(self, term: int, now_s: float) -> None:
-        """Follow in a later term, whose leader is not known yet."""
-        self.step_down(now_s)
-        self.term = term
-        self.voted_for = NOBODY
-        self.writes.hard_dirty = True
-        self.leader = NOBODY
-        # Every leader of a later term holds all committed entries.
-        self.verified = self.commit
-        self.incoming = None
-        self.probe_s = -inf
-
-    def campaign(
-        self, now_s: float, *, pre_vote: bool, transfer: bool = False
-    ) -> None:
-        """Ask for votes.
-
-        :param transfer: whether the leader handed over to this member.
-        """
-        if not pre_vote:
-            self.enter_term(self.term + 1, now_s)
-            self.voted_for = self.member
-        self.role = Role.CANDIDATE
-        self.leader = NOBODY
-        self.pre_vote = pre_vote
-        # The refusal times of the other voters have mostly passed, so a
-        # retry need not wait for the full timeout again.
-        self.deadline_s = now_s + self.timing.heartbeat_s * (
-            1 + 1.5 * self.random.random()
-        )
-        self.votes = {self.member} if pre_vote else set()
-        self.ask_for_votes(transfer=transfer)
-        self.count_votes(now_s)
-
-    def ask_for_votes(self, *, transfer: bool) -> None:
-        """Send vote requests to the other voters."""
-        for voter in self.config.voters:
-            if voter.member != self.member:
-                self.send(
-                    voter.instance,
-                    VoteRequest(
-                        to=voter.member,
-                        sender=self.member,
-                        term=self.term + self.pre_vote,
-                        instance=self.instance,
-                        last_index=self.log.last_index,
-                        last_term=self.log.last_term,
-                        pre_vote=self.pre_vote,
-                        transfer=transfer,
-                    ),
-                )
-
-    def count_own_vote(self, now_s: float) -> None:
-        """Count the vote for oneself once it is durable."""
-        if (
-            self.role is Role.CANDIDATE
-            and not self.pre_vote
-            and self.writes.hard_durable
-        ):
-            self.votes.add(self.member)
-            self.count_votes(now_s)
-
-    def count_votes(self, now_s: float) -> None:
-        """Go on when a majority of the voters agreed."""
-        voters = {voter.member for voter in self.config.voters}
-        if len(self.votes & voters) * 2 <= len(voters):
-            return
-        if not self.pre_vote:
-            self.lead(now_s)
-        elif not self.heard_recently(now_s):
-            self.campaign(now_s, pre_vote=False)
-
-    def lead(self, now_s: float) -> None:
-        """Become the leader of the term."""
-        self.role = Role.LEADER
-        self.leader = self.member
-        self.votes.clear()
-        self.deadline_s = inf
-        self.replication = Replication(
-            own=GroupMember(member=self.member, instance=self.instance),
-            term=self.term,
-            log=self.log,
-            timing=self.timing,
-            now_s=now_s,
-        )
-        # Entries of earlier terms are committed only through an entry of
-        # the own term (section 5.4.2 of the paper).
-        self.no_op_index = self.append(EntryKind.NO_OP, b'')[0]
-
-    # Messages.
-
     def dispatch(self, message: PeerMessage, now_s: float) -> None:
         """Hand a message to its handler."""
         match message:
@@ -540,188 +281,6 @@
             case Join():
                 self.on_join(message, now_s)
 
-    def on_vote_request(self, request: VoteRequest, now_s: float) -> None:
-        """Grant a vote, a pre-vote, or refuse."""
-        up_to_date = (request.last_term, request.last_index) >= (
-            self.log.last_term,
-            self.log.last_index,
-        )
-        refused = not self.can_vote or (
-            self.heard_recently(now_s) and not request.transfer
-        )
-        if refused or request.term < self.term:
-            self.counters['vote_refused'] += 1
-            granted = False
-        elif request.pre_vote:
-            granted = up_to_date and request.term > self.term
-        else:
-            if request.term > self.term:
-                self.enter_term(request.term, now_s)
-            granted = up_to_date and self.voted_for in {NOBODY, request.sender}
-            if granted and self.voted_for == NOBODY:
-                self.voted_for = request.sender
-                self.writes.hard_dirty = True
-                self.reset_deadline(now_s)
-        self.send(
-            request.instance,
-            VoteReply(
-                to=request.sender,
-                sender=self.member,
-                term=self.term,
-                asked_term=request.term,
-                pre_vote=request.pre_vote,
-                granted=granted,
-            ),
-        )
-
-    def on_vote_reply(self, reply: VoteReply, now_s: float) -> None:
-        """Count a vote."""
-        if reply.term > self.term:
-            self.enter_term(reply.term, now_s)
-        elif (
-            self.role is not Role.CANDIDATE
-            or reply.pre_vote != self.pre_vote
-            or reply.asked_term != self.term + self.pre_vote
-        ):
-            self.counters['outdated'] += 1
-        elif reply.granted:
-            self.votes.add(reply.sender)
-            self.count_votes(now_s)
-
-    def hear_leader(
-        self, message: Append | SnapshotChunk, now_s: float
-    ) -> bool:
-        """Follow the sender; False if its term has passed."""
-        if message.term < self.term:
-            self.counters['outdated'] += 1
-            self.reject(message, 0)
-            return False
-        if message.term > self.term:
-            self.enter_term(message.term, now_s)
-        if self.role is Role.LEADER:
-            # Two leaders in a term: an identity was used twice.
-            self.counters['second_leader'] += 1
-            return False
-        self.step_down(now_s)
-        self.leader = message.sender
-        self.heard_s = now_s
-        self.leader_instance = message.instance
-        self.probe_s = max(message.probe_s, self.probe_s)
-        self.reset_deadline(now_s)
-        return True
-
-    def on_append(self, message: Append, now_s: float) -> None:
-        """Take in entries or a heartbeat."""
-        if not is_well_formed(message):
-            self.counters['malformed'] += 1
-            return
-        if not self.hear_leader(message, now_s):
-            return
-        previous = message.previous_index
-        held_term = self.log.term_at(previous)
-        if previous >= self.commit and held_term != message.previous_term:
-            hint = min(self.log.last_index, previous - 1)
-            if held_term is not None:
-                hint = self.log.first_of_term(previous) - 1
-            self.reject(message, max(hint, self.commit))
-            return
-        for entry in message.entries:
-            if entry.index <= self.commit:
-                continue
-            if self.log.term_at(entry.index) == entry.term:
-                continue
-            if entry.index <= self.log.last_index:
-                self.log.truncate(entry.index)
-                self.writes.truncate(entry.index)
-            self.log.append(entry)
-        last = previous + len(message.entries)
-        self.verified = max(self.verified, last)
-        self.commit = max(self.commit, min(message.commit, last))
-        self.acknowledge()
-
-    def acknowledge(self) -> None:
-        """Tell the leader how much of its log is durable here."""
-        self.send(
-            self.leader_instance,
-            AppendReply(
-                to=self.leader,
-                sender=self.member,
-                term=self.term,
-                accepted=True,
-                previous_index=0,
-                match_index=min(self.verified, self.writes.durable_index),
-                probe_s=self.probe_s,
-            ),
-        )
-
-    def reject(self, message: Append | SnapshotChunk, hint: int) -> None:
-        """Refuse a message and say up to where the log may match."""
-        previous = (
-            message.previous_index
-            if isinstance(message, Append)
-            else message.meta.index
-        )
-        self.send(
-            message.instance,
-            AppendReply(
-                to=message.sender,
-                sender=self.member,
-                term=self.term,
-                accepted=False,
-                previous_index=previous,
-                match_index=hint,
-                probe_s=message.probe_s,
-            ),
-        )
-
-    def on_chunk(self, chunk: SnapshotChunk, now_s: float) -> None:
-        """Take in part of a snapshot."""
-        if not self.hear_leader(chunk, now_s):
-            return
-        index = chunk.meta.index
-        if index <= self.commit or self.log.term_at(index) == chunk.meta.term:
-            # A late chunk must not drop entries that were acknowledged since.
-            self.verified = max(self.verified, index)
-            self.commit = max(self.commit, index)
-            self.acknowledge()
-            return
-        if self.incoming is None or not self.incoming.matches(chunk):
-            self.incoming = IncomingSnapshot(chunk)
-        self.incoming.add(chunk)
-        offset = len(self.incoming.body)
-        if self.incoming.is_whole:
-            if self.incoming.is_intact:
-                self.replace_log(self.incoming)
-                return
-            self.counters['damaged_snapshot'] += 1
-            self.incoming = None
-            offset = 0
-        self.send(
-            chunk.instance,
-            SnapshotReply(
-                to=chunk.sender,
-                sender=self.member,
-                term=self.term,
-                index=chunk.meta.index,
-                offset=offset,
-                probe_s=chunk.probe_s,
-            ),
-        )
-
-    def replace_log(self, incoming: IncomingSnapshot) -> None:
-        """Replace log and state; acknowledged when the snapshot is durable."""
-        meta = incoming.meta
-        self.incoming = None
-        self.log = Log(base=meta)
-        self.snapshot = meta
-        self.install = Snapshot(meta=meta, body=bytes(incoming.body))
-        self.writes.replace(meta.index)
-        self.commit = meta.index
-        self.verified = meta.index
-        self.delivered_index = meta.index
-        self.delivered_bytes = 0
-        self.snapshot_asked = meta.index
-
     def on_reply(
         self, reply: AppendReply | SnapshotReply, now_s: float
     ) -> None:
@@ -736,24 +295,11 @@
         else:
             lead.take_snapshot_reply(reply, now_s)
 
-    def on_transfer(self, message: TransferLeadership, now_s: float) -> None:
-        """Campaign at once, because the leader gave up its authority."""
-        if (
-            message.term == self.term
-            and message.sender == self.leader
-            and self.may_campaign
-        ):
-            self.campaign(now_s, pre_vote=False, transfer=True)
-        else:
-            self.counters['outdated'] += 1
-
     def on_join(self, message: Join, now_s: float) -> None:
         """Note that a member outside the group wants to become a learner."""
         if self.role is Role.LEADER and message.sender not in self.members:
             self.joined[message.instance] = (message.sender, now_s)
 
-    # The leader's log.
-
     def check_leading(self) -> None:
         """Raise unless this member takes proposals."""
         if self.role is not Role.LEADER or self.transfer_to:
@@ -764,14 +310,6 @@
                 remedy='send the request to the leader',
             )
 
-    def append(self, kind: EntryKind, payload: bytes) -> tuple[int, int]:
-        """Append an entry of the own term."""
-        index = self.log.last_index + 1
-        self.log.append(
-            LogEntry(index=index, term=self.term, kind=kind, payload=payload)
-        )
-        return index, self.term
-
     def config_refusal(self, wanted: GroupConfig, now_s: float) -> str:
         """Return why a configuration must not be appended now, or nothing."""
         if self.commit < self.no_op_index:
@@ -823,12 +361,6 @@
         self.transfer_until_s = now_s + self.timing.election_max_s
         return True
 
-    # Effects.
-
-    def send(self, instance: InstanceId, message: PeerMessage) -> None:
-        """Queue a message."""
-        self.outbox.append(Outgoing(instance=instance, message=message))
-
     def flush(self, now_s: float) -> Effects:
         """Return everything that is due and forget it."""
         lead = self.replication
@@ -878,43 +410,3 @@
             term=self.term,
             leader=self.leader,
         )
-
-    def releasable(self) -> list[Outgoing]:
-        """Return the messages whose term and vote are durable."""
-        # Messages of a term that has passed are of no use to anyone.
-        self.withheld = [
-            out
-            for out in (*self.withheld, *self.outbox)
-            if out.message.term >= self.term
-        ]
-        self.outbox.clear()
-        if not self.writes.hard_durable:
-            return []
-        released = self.withheld
-        self.withheld = []
-        return released
-
-    def deliver(self) -> tuple[LogEntry, ...]:
-        """Return the committed entries that were not returned before."""
-        if self.role is Role.STOPPED or self.commit <= self.delivered_index:
-            return ()
-        entries = tuple(self.log.slice(self.delivered_index + 1, self.commit))
-        self.delivered_index = self.commit
-        self.delivered_bytes += sum(len(entry.payload) for entry in entries)
-        return entries
-
-    def snapshot_due(self) -> SnapshotMeta | None:
-        """Return the place of a snapshot when enough was delivered."""
-        index = self.delivered_index
-        if (
-            index - self.snapshot_asked < SNAPSHOT_ENTRIES
-            and self.delivered_bytes < SNAPSHOT_BYTES
-        ):
-            return None
-        self.snapshot_asked = index
-        self.delivered_bytes = 0
-        return SnapshotMeta(
-            index=index,
-            term=self.log.term_at(index) or 0,
-            config=self.log.config_at(index),
-        )
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -105,7 +105,7 @@
 def small_snapshots() -> Iterator[None]:
     """Make snapshots so frequent that short runs need them."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr('mangotrail.agreement.SNAPSHOT_ENTRIES', 15)
+        patch.setattr('mangotrail._member.SNAPSHOT_ENTRIES', 15)
         patch.setattr('mangotrail._log.TRAILING_ENTRIES', 3)
         patch.setattr('tests.simulation.CHUNK_BYTES', 40)
         yield
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -388,6 +388,9 @@
         write_identity(empty, identity)
         with pytest.raises(SettingsError):
             write_identity(empty, identity)
+        (empty / 'journal-0000000000').unlink()
+        with pytest.raises(DamagedJournalError):
+            reopen(empty)
         (empty / 'identity.json').write_text('{')
         with pytest.raises(DamagedJournalError):
             open_identity(empty, deployment='d', instance=InstanceId('i'))
