Simulate the zone losses of the design table

Cause: the table of losses in the design was shown by random runs only, and a founding member id could be cut to the id of another instance. Change: planned and unplanned loss of each zone with 3 and 5 disks, empty disks at the return and a second loss after it; ids are never cut; the lock file is closed when the folder is in use.

--- a/mangotrail/_file_journal.py
+++ b/mangotrail/_file_journal.py
@@ -51,6 +51,7 @@
         try:
             self.lock()
         except OSError as error:
+            self.close()
             raise self.failure(error) from error
 
     def lock(self) -> None:
--- a/mangotrail/_peer.py
+++ b/mangotrail/_peer.py
@@ -45,7 +45,7 @@
     voted_for: Annotated[
         MemberId,
         Meta(
-            description='Empty if there was no vote in the term.', max_length=64
+            description='Empty if there was no vote in the term.', max_length=80
         ),
     ]
     term: Annotated[int, Meta(ge=0)] = 0
@@ -70,7 +70,7 @@
     One identity of an instance.
     """
 
-    member: Annotated[MemberId, Meta(max_length=64, min_length=1)]
+    member: Annotated[MemberId, Meta(max_length=80, min_length=1)]
     instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
 
 
@@ -121,7 +121,7 @@
     format_version: Annotated[int, Meta(ge=1, le=1)]
     deployment: Annotated[str, Meta(max_length=64, min_length=1)]
     instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
-    member: Annotated[MemberId, Meta(max_length=64, min_length=1)]
+    member: Annotated[MemberId, Meta(max_length=80, min_length=1)]
     founding: bool
 
 
@@ -136,8 +136,8 @@
     A candidate asks for a vote in a term.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
     last_index: Annotated[int, Meta(ge=0)]
@@ -160,8 +160,8 @@
     Answer to a vote request.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     asked_term: Annotated[int, Meta(ge=0)]
     pre_vote: bool
@@ -175,8 +175,8 @@
     Entries that follow an entry of the log, or a heartbeat.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
     previous_index: Annotated[int, Meta(ge=0)]
@@ -202,8 +202,8 @@
     Answer to an append.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     accepted: bool
     previous_index: Annotated[int, Meta(ge=0)]
@@ -233,8 +233,8 @@
     Part of a snapshot, at most 64 KiB.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
     meta: SnapshotMeta
@@ -263,8 +263,8 @@
     Answer to a snapshot chunk.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     index: Annotated[int, Meta(ge=0)]
     offset: Annotated[
@@ -289,8 +289,8 @@
     The leader asks a caught-up voter to replace it at once.
     """
 
-    to: Annotated[MemberId, Meta(max_length=64)]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    to: Annotated[MemberId, Meta(max_length=80)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
 
 
@@ -305,10 +305,10 @@
         MemberId,
         Meta(
             description='Receiving member; empty for every instance.',
-            max_length=64,
+            max_length=80,
         ),
     ]
-    sender: Annotated[MemberId, Meta(max_length=64)]
+    sender: Annotated[MemberId, Meta(max_length=80)]
     term: Annotated[int, Meta(ge=0)]
     instance: Annotated[InstanceId, Meta(max_length=64, min_length=1)]
 
--- a/mangotrail/membership.py
+++ b/mangotrail/membership.py
@@ -115,7 +115,7 @@
 
 def founding_member(instance: InstanceId) -> MemberId:
     """Return the member id of a founding voter, which all members know."""
-    return MemberId(f'founding-{instance}'[:64])
+    return MemberId(f'founding-{instance}')
 
 
 def founding_config(places: Iterable[InstancePlace]) -> GroupConfig:
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -26,7 +26,7 @@
 )
 from mangotrail.agreement import Agreement
 from mangotrail.errors import MembershipError, SettingsError
-from mangotrail.ids import InstanceId, MemberId
+from mangotrail.ids import InstanceId, MemberId, ZoneId
 from tests.simulation import Simulation
 
 INSTANCES = [InstanceId(f'i{number}') for number in range(5)]
@@ -254,6 +254,68 @@
         group.run_until(lambda: group.leader() is not None, 4)
 
 
+class TestZones:
+    """The table of losses in the design, with simulated time."""
+
+    def commits(self, group: Simulation) -> bool:
+        """Whether a new command is committed within 5 s."""
+        payload = b'%d' % group.now_s
+        group.run_until(
+            lambda: group.leader() is not None and group.propose(payload), 5
+        )
+        group.run_until(lambda: payload in group.reference, 2)
+        return True
+
+    def lose_zone(self, group: Simulation, zone: str) -> list[InstanceId]:
+        lost = [
+            place.instance
+            for place in group.places.values()
+            if place.zone == zone
+        ]
+        for instance in lost:
+            group.crash(instance)
+        return lost
+
+    @pytest.mark.parametrize('disks', [3, 5])
+    @pytest.mark.parametrize('zone', ['z0', 'z1', 'z2'])
+    def test_unplanned(self, disks: int, zone: str) -> None:
+        """A zone that fails and comes back with empty disks."""
+        group = Simulation(8, disks=disks)
+        group.run_until(group.is_whole, 5)
+        lost = self.lose_zone(group, zone)
+        assert self.commits(group)
+        for instance in lost:
+            group.nodes[instance].start(group.founding, fresh=True)
+        group.run_until(group.is_whole, 10)
+        # A second loss right after the repair.
+        group.crash(group.leader().place.instance)
+        assert self.commits(group)
+        group.settle()
+
+    @pytest.mark.parametrize('zone', ['z0', 'z1', 'z2'])
+    def test_planned(self, zone: str) -> None:
+        """A zone that is taken out, then one more instance fails."""
+        group = Simulation(9, disks=5)
+        group.run_until(group.is_whole, 5)
+        group.take_out(ZoneId(zone))
+        group.run_until(lambda: self.is_evacuated(group, zone), 5)
+        self.lose_zone(group, zone)
+        assert self.commits(group)
+        group.crash(group.leader().place.instance)
+        assert self.commits(group)
+        group.settle()
+
+    def is_evacuated(self, group: Simulation, zone: str) -> bool:
+        """Whether leader and voters are in other zones, durably."""
+        leader = group.leader()
+        return leader is not None and all(
+            group.places[voter.instance].zone != zone
+            for voter in leader.agreement.log.config_at(
+                leader.agreement.commit
+            ).voters
+        )
+
+
 VOTERS = tuple(
     GroupMember(member=MemberId(name), instance=InstanceId(f'on-{name}'))
     for name in 'abc'
