--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -143,6 +143,8 @@
         """A group that needs longer than 4 s to start misses its promise."""
         group = Simulation(1)
         group.run_until(group.is_whole, 4)
+        node = group.leader()
+        assert not node.agreement.joining(group.clock_s(node))
 
     @pytest.mark.parametrize('seed', range(20))
     def test_successor(self, seed: int) -> None:
@@ -335,13 +337,14 @@
     can_vote: bool = True,
     now_s: float = 0,
     config: GroupConfig = CONFIG,
+    hard_state: HardState | None = None,
 ) -> Agreement:
     """Return member a, started at a time."""
     agreement = Agreement(
         member=VOTERS[0].member,
         instance=VOTERS[0].instance,
         log=log,
-        hard_state=HardState(term=term, voted_for=MemberId('')),
+        hard_state=hard_state or HardState(term=term, voted_for=MemberId('')),
         config=config,
         seed=1,
         can_vote=can_vote,
@@ -401,6 +404,9 @@
             pre_vote=pre_vote,
             granted=True,
         )
+        # A late answer of an earlier term must not count.
+        late = msgspec.structs.replace(reply, asked_term=agreement.term - 1)
+        assert agreement.receive(late, now_s).role is Role.CANDIDATE
         effects = agreement.receive(reply, now_s)
         if pre_vote:
             effects = agreement.synced(effects.write, now_s)
@@ -432,6 +438,8 @@
         assert granted(agreement.synced(effects.write, 2)) == [True]
         other = ask(sender=MemberId('c'))
         assert granted(agreement.receive(other, now_s=2)) == [False]
+        restarted = member(hard_state=effects.hard_state)
+        assert granted(restarted.receive(other, now_s=2)) == [False]
 
     def test_restart(self) -> None:
         """A restarted voter may have heard a leader just before."""
@@ -557,6 +565,10 @@
         agreement = member(entry(1, 1), entry(2, 2), term=3)
         effects = elect(agreement, now_s=2)
         assert not agreement.receive(accept(agreement, 2, 2), 2).committed
+        old = msgspec.structs.replace(accept(agreement, 3, 2), term=3)
+        agreement.receive(old, 2)
+        agreement.receive(accept(agreement, 99, 2), 2)
+        assert agreement.replication.peers[MemberId('b')].match_index == 2
         assert not agreement.receive(accept(agreement, 3, 2), 2).committed
         effects = agreement.synced(effects.write, 2)
         assert [held.index for held in effects.committed] == [1, 2, 3]
