Say what leader authority assumes of the driver

Cause: the state of a leader with authority is complete only once the driver has applied the effects it was given. Change: the doc comment says so.

--- a/mangotrail/agreement.py
+++ b/mangotrail/agreement.py
@@ -89,8 +89,9 @@
     def has_authority(self, now_s: float) -> bool:
         """Whether no other member can have been elected up to now.
 
-        Also requires that an entry of the own term is committed, so that the
-        applied state holds every entry committed by earlier leaders.
+        Also requires that an entry of the own term is committed. The state
+        then holds every entry committed by earlier leaders, if the driver
+        has applied all effects returned so far.
         """
         lead = self.replication
         return (
