--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -26,7 +26,7 @@
 )
 from mangotrail.agreement import Agreement
 from mangotrail.errors import MembershipError, SettingsError
-from mangotrail.ids import InstanceId, MemberId
+from mangotrail.ids import InstanceId, MemberId, ZoneId
 from tests.simulation import Simulation
 
 INSTANCES = [InstanceId(f'i{number}') for number in range(5)]
@@ -105,7 +105,7 @@
 def small_snapshots() -> Iterator[None]:
     """Make snapshots so frequent that short runs need them."""
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr('mangotrail.agreement.SNAPSHOT_ENTRIES', 15)
+        patch.setattr('mangotrail._member.SNAPSHOT_ENTRIES', 15)
         patch.setattr('mangotrail._log.TRAILING_ENTRIES', 3)
         patch.setattr('tests.simulation.CHUNK_BYTES', 40)
         yield
@@ -143,6 +143,8 @@
         """A group that needs longer than 4 s to start misses its promise."""
         group = Simulation(1)
         group.run_until(group.is_whole, 4)
+        node = group.leader()
+        assert not node.agreement.joining(group.clock_s(node))
 
     @pytest.mark.parametrize('seed', range(20))
     def test_successor(self, seed: int) -> None:
@@ -254,6 +256,67 @@
         group.run_until(lambda: group.leader() is not None, 4)
 
 
+class TestZones:
+    """The table of losses in the design, with simulated time."""
+
+    def commit(self, group: Simulation) -> None:
+        """Propose a command until one is committed."""
+        payload = b'%d' % group.now_s
+        group.run_until(
+            lambda: group.leader() is not None and group.propose(payload), 5
+        )
+        group.run_until(lambda: payload in group.reference, 2)
+
+    def lose_zone(self, group: Simulation, zone: str) -> list[InstanceId]:
+        lost = [
+            place.instance
+            for place in group.places.values()
+            if place.zone == zone
+        ]
+        for instance in lost:
+            group.crash(instance)
+        return lost
+
+    @pytest.mark.parametrize('disks', [3, 5])
+    @pytest.mark.parametrize('zone', ['z0', 'z1', 'z2'])
+    def test_unplanned(self, disks: int, zone: str) -> None:
+        """A zone that fails and comes back with empty disks."""
+        group = Simulation(8, disks=disks)
+        group.run_until(group.is_whole, 5)
+        lost = self.lose_zone(group, zone)
+        self.commit(group)
+        for instance in lost:
+            group.nodes[instance].start(group.founding, fresh=True)
+        group.run_until(group.is_whole, 10)
+        # A second loss right after the repair.
+        group.crash(group.leader().place.instance)
+        self.commit(group)
+        group.settle()
+
+    @pytest.mark.parametrize('zone', ['z0', 'z1', 'z2'])
+    def test_planned(self, zone: str) -> None:
+        """A zone that is taken out, then one more instance fails."""
+        group = Simulation(9, disks=5)
+        group.run_until(group.is_whole, 5)
+        group.take_out(ZoneId(zone))
+        group.run_until(lambda: self.is_evacuated(group, zone), 5)
+        self.lose_zone(group, zone)
+        self.commit(group)
+        group.crash(group.leader().place.instance)
+        self.commit(group)
+        group.settle()
+
+    def is_evacuated(self, group: Simulation, zone: str) -> bool:
+        """Whether leader and voters are in other zones, durably."""
+        leader = group.leader()
+        return leader is not None and all(
+            group.places[voter.instance].zone != zone
+            for voter in leader.agreement.log.config_at(
+                leader.agreement.commit
+            ).voters
+        )
+
+
 VOTERS = tuple(
     GroupMember(member=MemberId(name), instance=InstanceId(f'on-{name}'))
     for name in 'abc'
@@ -274,13 +337,14 @@
     can_vote: bool = True,
     now_s: float = 0,
     config: GroupConfig = CONFIG,
+    hard_state: HardState | None = None,
 ) -> Agreement:
     """Return member a, started at a time."""
     agreement = Agreement(
         member=VOTERS[0].member,
         instance=VOTERS[0].instance,
         log=log,
-        hard_state=HardState(term=term, voted_for=MemberId('')),
+        hard_state=hard_state or HardState(term=term, voted_for=MemberId('')),
         config=config,
         seed=1,
         can_vote=can_vote,
@@ -340,6 +404,9 @@
             pre_vote=pre_vote,
             granted=True,
         )
+        # A late answer of an earlier term must not count.
+        late = msgspec.structs.replace(reply, asked_term=agreement.term - 1)
+        assert agreement.receive(late, now_s).role is Role.CANDIDATE
         effects = agreement.receive(reply, now_s)
         if pre_vote:
             effects = agreement.synced(effects.write, now_s)
@@ -371,6 +438,8 @@
         assert granted(agreement.synced(effects.write, 2)) == [True]
         other = ask(sender=MemberId('c'))
         assert granted(agreement.receive(other, now_s=2)) == [False]
+        restarted = member(hard_state=effects.hard_state)
+        assert granted(restarted.receive(other, now_s=2)) == [False]
 
     def test_restart(self) -> None:
         """A restarted voter may have heard a leader just before."""
@@ -496,6 +565,10 @@
         agreement = member(entry(1, 1), entry(2, 2), term=3)
         effects = elect(agreement, now_s=2)
         assert not agreement.receive(accept(agreement, 2, 2), 2).committed
+        old = msgspec.structs.replace(accept(agreement, 3, 2), term=3)
+        agreement.receive(old, 2)
+        agreement.receive(accept(agreement, 99, 2), 2)
+        assert agreement.replication.peers[MemberId('b')].match_index == 2
         assert not agreement.receive(accept(agreement, 3, 2), 2).committed
         effects = agreement.synced(effects.write, 2)
         assert [held.index for held in effects.committed] == [1, 2, 3]
