Order lines by learned run time, lend guaranteed cells first

Change: jobs age in about their learned run time; preemptible work borrows idle cells before it takes unguaranteed capacity; two reservations at most, and a reserved gang starts elsewhere if that is free first; urgent work that can be preempted also displaces borrowers.

--- a/mangotrail/_preemption.py
+++ b/mangotrail/_preemption.py
@@ -32,12 +32,13 @@
     ]
     short = len(spot.masks) - worker.free_slots
     short -= sum(worker.holds[job].slots for job in chosen)
+    # Holders inside their own guarantee give way last.
     others = [
-        (-hold.slots, job)
+        (bool(hold.mask) and not hold.outside, -hold.slots, job)
         for job, hold in worker.holds.items()
         if job not in chosen and is_displaceable(hold, want, reach)
     ]
-    for slots, job in sorted(others):
+    for _, slots, job in sorted(others):
         if short <= 0:
             break
         chosen.append(job)
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -36,7 +36,7 @@
 # once would hold capacity back for jobs that start soon anyway.
 RESERVE_AFTER_S = 60.0
 # Each reservation keeps capacity idle until it is complete.
-MAX_RESERVATIONS = 4
+MAX_RESERVATIONS = 2
 # Moving homes takes several milliseconds at the design size.
 MOVE_INTERVAL_S = 1.0
 # The queues are gone through again this often even if nothing changed,
@@ -140,8 +140,16 @@
             if is_broken(job, pending):
                 core.return_claim(job)
             elif is_ready(pending) and not self._obstacle(job):
-                core.return_claim(job)
                 self.start(job, pending.zone, pending.spots)
+            elif pending.is_reservation and not self._obstacle(job):
+                self._start_elsewhere(job)
+
+    def _start_elsewhere(self, job: Job) -> None:
+        """Start a job whose reservation is not complete yet."""
+        want = self.core.want(job)
+        found = self._search(want, self._zones(job), _reaches(want))
+        if found is not None:
+            self.start(job, found.zone, found.spots)
 
     def _obstacle(self, job: Job) -> str:
         """Return why a job cannot start whatever is free, if so."""
@@ -339,7 +347,8 @@
 
 
 def _reaches(want: Want) -> list[Reach]:
-    reaches = [Reach.OWN, Reach.OPEN]
-    if not want.pinned:
-        reaches.append(Reach.BORROW)
-    return reaches
+    if want.pinned:
+        return [Reach.OWN, Reach.OPEN]
+    # Work that can be preempted borrows first, which leaves the capacity that
+    # nobody is guaranteed to work that cannot.
+    return [Reach.OWN, Reach.LEND, Reach.OPEN, Reach.BORROW]
--- a/mangotrail/fairness.py
+++ b/mangotrail/fairness.py
@@ -10,8 +10,12 @@
 from mangotrail._jobs import Job, QueueKey
 from mangotrail.ids import AccountId, JobId
 
-# Waiting this long weighs as much as using one fair share less.
+# Waiting this long weighs as much as using one fair share less, for a job whose
+# run time is unknown. Jobs with learned run times age in about their run time,
+# so short ones do not wait behind long ones and long ones do not starve.
 AGEING_S = 600.0
+SHORTEST_AGEING_S = 30.0
+LONGEST_AGEING_S = 7200.0
 # An account may retry this share of its requests, but at least this many.
 RETRY_SHARE = 0.1
 MIN_RETRIES = 10
@@ -107,6 +111,16 @@
 _Entry: TypeAlias = tuple[tuple[int, float], int, AccountQueue, QueueKey]
 
 
+def ageing_s(length: int) -> float:
+    """Return the waiting time that weighs as much as one fair share.
+
+    :param length: binary order of the learned run time, 0 if unknown.
+    """
+    if not length:
+        return AGEING_S
+    return max(SHORTEST_AGEING_S, min(LONGEST_AGEING_S, 2.0**length))
+
+
 class Shares:
     """Order in which the accounts are served."""
 
@@ -152,7 +166,8 @@
         shape = job.spec.shape
         need = shape.members * shape.accelerators
         share = self.unguaranteed * queue.spec.weight / self.total_weight
-        rank = queue.charged / share - (now_s - job.submitted_s) / AGEING_S
+        waited_s = now_s - job.submitted_s
+        rank = queue.charged / share - waited_s / ageing_s(job.length)
         if job.spec.urgent:
             return 0, rank
         if need and queue.held + need <= queue.guaranteed:
--- a/mangotrail/placement.py
+++ b/mangotrail/placement.py
@@ -14,11 +14,13 @@
 class Reach(Enum):
     """Which capacity a placement may use.
 
-    Reclaim and displace count capacity of jobs that can be preempted.
+    Lend is free capacity that others are guaranteed, borrow is all free
+    capacity. Reclaim and displace count jobs that can be preempted, too.
     """
 
     OWN = 'own'
     OPEN = 'open'
+    LEND = 'lend'
     BORROW = 'borrow'
     RECLAIM = 'reclaim'
     DISPLACE = 'displace'
@@ -61,10 +63,14 @@
         mask = worker.free & own
     elif reach is Reach.BORROW:
         mask = worker.free
+    elif reach is Reach.LEND:
+        mask = worker.free & worker.reserved & ~own
     else:
-        mask = worker.free & (~worker.reserved | own)
+        mask = worker.free
         if worker.soft and reach is not Reach.OPEN:
             mask |= _displaceable(worker, want, reach, own)
+        if want.pinned or reach is not Reach.DISPLACE:
+            mask &= ~worker.reserved | own
     if worker.claims:
         mask &= ~_claimed(worker, want)
     return mask
@@ -74,10 +80,10 @@
     mask = 0
     for hold in worker.holds.values():
         if is_displaceable(hold, want, reach):
-            mask |= hold.mask
-    if reach is Reach.RECLAIM:
-        return mask & own
-    return mask & (~worker.reserved | own)
+            # Urgent work leaves others alone inside their own guarantee.
+            theirs = worker.own.get(hold.account, 0) & ~own
+            mask |= hold.mask & ~theirs
+    return mask & own if reach is Reach.RECLAIM else mask
 
 
 def is_displaceable(hold: Hold, want: Want, reach: Reach) -> bool:
