Test lending, owners during urgent work, ageing by length, late zones

Change: one test each; urgent work of others and reserved gangs that can start elsewhere are tested as well.

--- a/tests/test_fairness.py
+++ b/tests/test_fairness.py
@@ -1,7 +1,7 @@
 """Guards the limits and the order in which accounts are served."""
 
 from mangotrail._jobs import Job
-from mangotrail.fairness import AGEING_S, AccountQueue
+from mangotrail.fairness import AGEING_S, LONGEST_AGEING_S, AccountQueue
 from mangotrail.ids import JobId
 from tests.core_events import (
     Driver,
@@ -65,6 +65,22 @@
             idle, young, now_s
         )
 
+    def test_short_work_ages_faster(self) -> None:
+        """Short jobs behind long ones would wait many times their length."""
+        shares = one_worker(account('a')).scheduler.core.shares
+        long, short = (
+            Job(job=JobId('j'), spec=spec(), submitted_s=submitted_s)
+            for submitted_s in (0, 100)
+        )
+        long.length, short.length = 13, 6
+        queue = shares.accounts['a']
+        assert shares.priority(queue, short, 200) < shares.priority(
+            queue, long, 200
+        )
+        assert shares.priority(queue, short, 200) > shares.priority(
+            queue, long, LONGEST_AGEING_S * 2
+        )
+
     def test_urgent_first(self) -> None:
         """Urgent work must not queue behind other work."""
         driver = one_worker(account('a'), account('b'), accelerators=1)
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -176,6 +176,16 @@
         driver.submit('b1', spec('b', **pinned))
         assert 'b1' not in driver.placed
 
+    def test_preemptible_work_borrows_first(self) -> None:
+        """Work that must not stop can only use unguaranteed capacity."""
+        zones = [zone_spec('z', (2, 4))]
+        guaranteed = account('a', cells('worker', 4))
+        driver = Driver(make_bundle(zones, [guaranteed, account('b')]))
+        ((_, ((worker, _),)),) = driver.scheduler.core.guarantees.homes
+        driver.submit('soft', spec('b', size=4))
+        (member,) = driver.placed['soft'].placement.members
+        assert member.worker == worker.worker
+
     def test_home_moves_for_pinned_work(self) -> None:
         """A cell that nobody uses must not keep a gang out for ever."""
         driver = Driver(
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -254,6 +254,18 @@
         assert places(driver.fail(victim)) == {'u'}
         assert driver.now_s - asked_s < 5
 
+    def test_owner_keeps_its_guarantee(self) -> None:
+        """Urgent work of one account must not break another's guarantee."""
+        bundle = make_bundle(
+            [zone_spec('z', (1, 4))],
+            [account('a', cells('worker', 4)), account('b')],
+        )
+        driver = Driver(bundle)
+        driver.run('a1', spec(size=4))
+        driver.submit('u', spec('b', size=4, urgent=True))
+        driver.tick(60)
+        assert not [one for one in driver.log if isinstance(one, Checkpoint)]
+
 
 class TestReservation:
     """A large gang among small jobs."""
@@ -277,6 +289,24 @@
             driver.finish(f'b{number}')
         assert 'gang' in driver.placed and 'c0' not in driver.placed
 
+    def test_gang_starts_elsewhere(self) -> None:
+        """A reservation must not delay a gang that could start at once."""
+        driver = Driver(
+            make_bundle([zone_spec('z', (2, 4))], [account('a'), account('b')])
+        )
+        for name in ('b0', 'b1'):
+            driver.run(name, spec('b', size=4, preemptible=False))
+        driver.submit('gang', spec(size=4))
+        driver.tick(RESERVE_AFTER_S)
+        (pending,) = driver.scheduler.core.claims.values()
+        reserved = pending.spots[0].worker.worker
+        (other,) = (
+            name
+            for name in ('b0', 'b1')
+            if driver.placed[name].placement.members[0].worker != reserved
+        )
+        assert places(driver.finish(other)) == {'gang'}
+
     def test_backfill_by_learned_run_time(self) -> None:
         """A declared run time is wrong by a factor of ten."""
         driver = self.build()
@@ -313,6 +343,25 @@
         (finish,) = successor.fail('j')
         assert finish.outcome is Outcome.OUTCOME_UNKNOWN and finish.ran
 
+    def test_zone_out_before_restore(self) -> None:
+        """Work in a zone that is out would run past the deadline."""
+        driver = two_zones()
+        driver.run('j', spec())
+        place = driver.placed['j']
+        successor = two_zones()
+        successor.zone(used_zone(place), 'out', deadline_s=20)
+        (checkpoint,) = successor.send(
+            JobRestored(
+                job=JobId('j'),
+                job_spec=spec(),
+                attempt=1,
+                placement=place.placement,
+                running_s=5,
+            )
+        )
+        assert isinstance(checkpoint, Checkpoint)
+        successor.wait_for(Stop, 'j', limit_s=19)
+
     def test_restored_work_keeps_guarantees(self) -> None:
         """Restored work may sit on a home that the new leader planned."""
         bundle = make_bundle(
