--- a/mangotrail/_ending.py
+++ b/mangotrail/_ending.py
@@ -28,7 +28,8 @@
     job = attempt_of(core, event.job, event.attempt, 'stale_gang_failed')
     if job is None:
         return
-    stopped = bool(job.stopping)
+    # A dispatcher may stop an attempt itself once its checkpoint is done.
+    stopped = bool(job.stopping) or job.checkpointed
     if stopped:
         learn_stop(core, job)
     else:
--- a/mangotrail/_preemption.py
+++ b/mangotrail/_preemption.py
@@ -1,14 +1,13 @@
 """Makes running jobs give way and keeps capacity for jobs that wait."""
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 from mangotrail._core import Core, Pending, TimerKind
 from mangotrail._jobs import Job, Phase
 from mangotrail.events import Checkpoint
 from mangotrail.ids import JobId
 from mangotrail.placement import Reach, Want, is_displaceable
-from mangotrail.topology import Claim, Spot, Worker, Zone, members_outside
+from mangotrail.topology import Claim, Spot, Zone, members_outside
 
 # The share of reclaim_s that is given to the checkpoint; the rest is for the
 # stop itself.
@@ -17,13 +16,6 @@
 URGENT_CHECKPOINT_S = 2.0
 
 
-class Victims(NamedTuple):
-    """Jobs that must give way on one worker."""
-
-    worker: Worker
-    jobs: list[JobId]
-
-
 def victims_of(spot: Spot, want: Want, reach: Reach) -> list[JobId]:
     """Return the jobs that hold what a gang needs on one worker."""
     worker = spot.worker
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -167,6 +167,14 @@
         assert driver.now_s - asked_s <= 9
         assert places(driver.fail('b1')) == {'a1'}
 
+    def test_stop_right_after_checkpoint(self) -> None:
+        """An attempt that gave way must not count as failed."""
+        driver = self.build()
+        driver.run('b1', spec('b', size=4))
+        driver.submit('a1', spec('a', size=4))
+        assert places(driver.fail('b1')) == {'a1'}
+        assert driver.scheduler.core.jobs['b1'].failures == 0
+
     @pytest.mark.parametrize(
         'pinned', [{'preemptible': False}, {'idempotent': False}]
     )
