Give freed capacity to suspended cells before other work starts

Cause: suspended cells were looked at on Tick only, so work that must not stop could take freed capacity first and keep a guarantee suspended. Change: homes are planned again after each end of an attempt while cells are suspended, without backtracking to bound the time.

--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -212,11 +212,16 @@
         job.settled_s = 0
         self.freed += 1
 
-    def plan_guarantees(self, *, keep: Keep = Keep.ALL) -> None:
+    def plan_guarantees(
+        self, *, keep: Keep = Keep.ALL, backtrack: bool = True
+    ) -> None:
         """Give guaranteed cells homes."""
         assert self.topology is not None and self.bundle is not None
         homes = self.guarantees.propose(
-            self.topology, self.bundle.accounts, keep=keep
+            self.topology,
+            self.bundle.accounts,
+            keep=keep,
+            backtrack=backtrack,
         )
         self._adopt(homes)
         self.planned_at = self.freed
--- a/mangotrail/_packing.py
+++ b/mangotrail/_packing.py
@@ -275,7 +275,12 @@
     :returns: a home for each cell, empty where none was found.
     """
     homes: list[Home] = []
+    hopeless: set[CellShape] = set()
     for cell in cells:
-        candidate = next(packing.candidates(cell), None)
+        candidate = None
+        if cell not in hopeless:
+            candidate = next(packing.candidates(cell), None)
+        if candidate is None:
+            hopeless.add(cell)
         homes.append(packing.take(cell, candidate) if candidate else ())
     return homes
--- a/mangotrail/guarantees.py
+++ b/mangotrail/guarantees.py
@@ -121,11 +121,14 @@
         *,
         keep: Keep = Keep.ALL,
         avoid: Sequence[Avoided] = (),
+        backtrack: bool = True,
     ) -> list[PlannedCell]:
         """Find homes that can be reclaimed for as many cells as possible.
 
         :param keep: which homes stay where they are if they are still good.
         :param avoid: capacity that is to be left to work of one account.
+        :param backtrack: whether to search on if the first attempt fails,
+            which takes several times as long.
         """
         wanted = order(cell_shapes(accounts))
         plan = _Plan(topology, avoid)
@@ -137,7 +140,9 @@
                 left[cell] -= 1
                 kept.append((cell, plan.homes[-1]))
         wanted = order(left.elements())
-        return plan.without_excess(kept + plan.find(wanted))
+        return plan.without_excess(
+            kept + plan.find(wanted, backtrack=backtrack)
+        )
 
     def adopt(
         self, topology: Topology, homes: list[PlannedCell]
@@ -204,13 +209,17 @@
         for worker, mask in home:
             self.taken[worker] = self.taken.get(worker, 0) | mask
 
-    def find(self, cells: list[CellShape]) -> list[PlannedCell]:
+    def find(
+        self, cells: list[CellShape], *, backtrack: bool
+    ) -> list[PlannedCell]:
         """Find homes for cells; an empty home means that none was found."""
         if not cells:
             return []
-        steps = len(cells) + MAX_BACKTRACKING
-        homes, failed = search(self._packing(), cells, steps)
-        if failed is not None:
+        homes: list[Home] = []
+        if backtrack:
+            steps = len(cells) + MAX_BACKTRACKING
+            homes, _ = search(self._packing(), cells, steps)
+        if not homes:
             homes = pack_most(self._packing(), cells)
         return list(zip(cells, homes, strict=True))
 
--- a/mangotrail/scheduler.py
+++ b/mangotrail/scheduler.py
@@ -80,11 +80,11 @@
             if core.guarantees.suspended:
                 core.plan_guarantees(keep=Keep.USED)
         elif (
-            isinstance(event, Tick)
+            isinstance(event, Tick | GangFailed | JobFinished)
             and core.guarantees.suspended
             and core.planned_at != core.freed
         ):
-            core.plan_guarantees()
+            core.plan_guarantees(backtrack=False)
 
     def refusal(self, spec: JobSpec) -> MangotrailError | None:
         """Return why a submit of this job would be refused, if it would."""
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -207,6 +207,20 @@
         assert 'b1' in driver.placed
         assert not driver.scheduler.core.guarantees.suspended
 
+    def test_freed_capacity_goes_to_suspended_cells(self) -> None:
+        """Other work that must not stop would keep a guarantee suspended."""
+        zones = [zone_spec('z1', (1, 1)), zone_spec('z2', (1, 1))]
+        guaranteed = account('a', cells('worker', 1))
+        driver = Driver(make_bundle(zones, [guaranteed, account('b')]))
+        core = driver.scheduler.core
+        ((_, ((worker, _),)),) = core.guarantees.homes
+        driver.run('b1', spec('b', preemptible=False))
+        driver.submit('b2', spec('b', preemptible=False))
+        driver.zone(worker.zone.zone, 'out')
+        assert core.guarantees.suspended
+        assert not places(driver.finish('b1'))
+        assert not core.guarantees.suspended
+
     def test_zone_out_and_back(self) -> None:
         """Guarantees follow the zones that are in."""
         driver = Driver(
