Keep capacity for suspended cells until work of others there has ended

Cause: while a zone is out, small jobs that must not stop could take each accelerator as it became free and keep a larger cell suspended for ever. Change: a suspended cell gets a place where it will be; new work that must not stop stays away from it, and it becomes the home once nothing pins it.

--- a/mangotrail/guarantees.py
+++ b/mangotrail/guarantees.py
@@ -108,6 +108,10 @@
 
     def __init__(self) -> None:
         self.homes: list[PlannedCell] = []
+        # Where suspended cells will be once work of others there has ended.
+        # They keep new work that must not stop away; otherwise small jobs
+        # could keep a large cell suspended for ever.
+        self.forming: list[PlannedCell] = []
 
     @property
     def suspended(self) -> list[CellShape]:
@@ -152,30 +156,68 @@
         :returns: workers whose homes changed.
         """
         before = {
-            worker: worker.own for worker in topology.walk() if worker.own
+            worker: (worker.own, worker.reserved)
+            for worker in topology.walk()
+            if worker.reserved
         }
         for worker in before:
             worker.own = {}
             worker.reserved = 0
         self.homes = homes
+        self.forming = self._form(topology) if self.suspended else []
         for cell, home in homes:
             for worker, mask in home:
                 worker.reserve(cell.account, mask)
+        for _, home in self.forming:
+            for worker, mask in home:
+                worker.reserved |= mask
         for zone in topology.zones.values():
             zone.with_cells = {}
-        concerned = {worker for _, home in homes for worker, _ in home}
+        concerned = {
+            worker for _, home in homes + self.forming for worker, _ in home
+        }
         for worker in topology.walk():
             for account in worker.own:
                 worker.zone.with_cells.setdefault(account, []).append(worker)
         changed = {
             worker
             for worker in concerned.union(before)
-            if worker.own != before.get(worker, {})
+            if (worker.own, worker.reserved) != before.get(worker)
         }
         for worker in changed:
             worker.zone.freed += 1
         return changed
 
+    def _form(self, topology: Topology) -> list[PlannedCell]:
+        """Choose where suspended cells will be, without regard to work."""
+        taken: dict[Worker, int] = {}
+        for _, home in self.homes:
+            for worker, mask in home:
+                taken[worker] = taken.get(worker, 0) | mask
+        left = Counter(self.suspended)
+        kept = []
+        for cell, home in self.forming:
+            good = all(
+                topology.workers.get(worker.worker) is worker
+                and worker.usable
+                and not mask & taken.get(worker, 0)
+                for worker, mask in home
+            )
+            if left[cell] and good:
+                left[cell] -= 1
+                kept.append((cell, home))
+                for worker, mask in home:
+                    taken[worker] = taken.get(worker, 0) | mask
+        wanted = order(left.elements())
+        rooms = (
+            (worker, empty_room(worker).without(taken.get(worker, 0)))
+            for worker in topology.walk()
+            if worker.accelerators and worker.usable
+        )
+        homes = pack_most(Packing(topology, rooms), wanted)
+        found = zip(wanted, homes, strict=True)
+        return kept + [(cell, home) for cell, home in found if home]
+
 
 class _Plan:
     """Homes under construction."""
--- a/mangotrail/topology.py
+++ b/mangotrail/topology.py
@@ -210,15 +210,6 @@
         self.reserved |= mask
         self.own[account] = self.own.get(account, 0) | mask
 
-    def unreserve(self, account: AccountId, mask: int) -> None:
-        """Remove accelerators of a guaranteed cell."""
-        self.reserved &= ~mask
-        rest = self.own.get(account, 0) & ~mask
-        if rest:
-            self.own[account] = rest
-        else:
-            self.own.pop(account, None)
-
 
 class Rack:
     """A rack of equal workers."""
--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -221,6 +221,20 @@
         assert not places(driver.finish('b1'))
         assert not core.guarantees.suspended
 
+    def test_small_jobs_do_not_keep_a_cell_suspended(self) -> None:
+        """A cell that needs several freed accelerators must get them."""
+        zones = [zone_spec('z1', (1, 4)), zone_spec('z2', (1, 4))]
+        guaranteed = account('a', cells('worker', 4))
+        driver = Driver(make_bundle(zones, [guaranteed, account('b')]))
+        core = driver.scheduler.core
+        ((_, ((worker, _),)),) = core.guarantees.homes
+        for number in range(6):
+            driver.submit(f'b{number}', spec('b', preemptible=False))
+        driver.zone(worker.zone.zone, 'out')
+        for number in range(4):
+            assert not places(driver.finish(f'b{number}'))
+        assert not core.guarantees.suspended
+
     def test_zone_out_and_back(self) -> None:
         """Guarantees follow the zones that are in."""
         driver = Driver(
