--- a/mangotrail/renewal.py
+++ b/mangotrail/renewal.py
@@ -89,7 +89,7 @@
             self.tasks.pop(url).cancel()
 
     def _renew_soon(self, url: str, held: HeldLease) -> None:
-        task = asyncio.create_task(self._renew(url, (held,)))
+        task = asyncio.create_task(self.renew(url, (held,)))
         self.urgent.add(task)
         task.add_done_callback(self.urgent.discard)
 
@@ -101,11 +101,12 @@
 
     async def _renew_zone(self, url: str) -> None:
         while True:
-            renewed = await self._renew(url, tuple(self.held[url].values()))
+            renewed = await self.renew(url, tuple(self.held[url].values()))
             period_s = self.renew_s if renewed else min(RETRY_S, self.renew_s)
             await asyncio.sleep(period_s)
 
-    async def _renew(self, url: str, leases: tuple[HeldLease, ...]) -> bool:
+    async def renew(self, url: str, leases: tuple[HeldLease, ...]) -> bool:
+        """Renew leases of one zone and return whether the platform replied."""
         asked_at_s = self.clock.age_s()
         try:
             reply = await self.platform.renew(
