Notice silent endpoints before their transfer time is over

A hung endpoint that accepted a connection held its attempt for the time of the largest transfer, over 300 s. The head of a response now has a bound of its own, 10 s after the wait. An answer that does not fit the kept bytes ends as failed, and an unknown path claims nothing.

--- a/mangotrail/_attempt.py
+++ b/mangotrail/_attempt.py
@@ -153,10 +153,9 @@
         runtime_s = self.tools.clock.age_s() - self.began_at_s
         await self.gang.end_unproved('finished')
         inline = len(result.body) <= MAX_LOGGED_ANSWER_BYTES
-        if not inline:
-            spec = self.order.job_spec
-            self.tools.answers.put(
-                (spec.account, spec.request), result.body, result.sha256
+        if not inline and not self._keep(result):
+            return self._report(
+                AttemptStatus.FAILED, 'answer is over the bytes kept here'
             )
         return AttemptReport(
             job=self.order.job,
@@ -169,6 +168,12 @@
             runtime_s=runtime_s,
         )
 
+    def _keep(self, result: RunResult) -> bool:
+        spec = self.order.job_spec
+        return self.tools.answers.put(
+            (spec.account, spec.request), result.body, result.sha256
+        )
+
     async def _end_broken(
         self, reason: str, worker: str | None
     ) -> AttemptReport:
--- a/mangotrail/_http_client.py
+++ b/mangotrail/_http_client.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from urllib.parse import urlsplit
 
@@ -53,6 +53,8 @@
     """A request and the bounds of its response.
 
     :param timeout_s: bound of the whole exchange in seconds.
+    :param head_timeout_s: bound until the head of the response arrives, so
+        that a silent peer is noticed long before a slow transfer is.
     :param max_bytes: largest accepted response body.
     :param pacer: bounds the rate at which body bytes are sent and read.
     """
@@ -61,6 +63,7 @@
     url: str
     purpose: Purpose
     timeout_s: float
+    head_timeout_s: float | None = None
     body: bytes = b''
     headers: Mapping[str, str] = field(default_factory=dict)
     max_bytes: int = MAX_SMALL_BODY_BYTES
@@ -84,11 +87,20 @@
 
         :raises HttpFailure: if no whole response arrived in time.
         """
-        deadline = asyncio.get_running_loop().time() + request.timeout_s
+        started = asyncio.get_running_loop().time()
         reader, writer = await self._connect(request)
         try:
-            async with asyncio.timeout_at(deadline):
-                return await self._exchange(request, reader, writer)
+            async with asyncio.timeout_at(
+                started + (request.head_timeout_s or request.timeout_s)
+            ) as bound:
+                return await self._exchange(
+                    request,
+                    reader,
+                    writer,
+                    on_head=lambda: bound.reschedule(
+                        started + request.timeout_s
+                    ),
+                )
         except (OSError, TimeoutError, h11.ProtocolError) as error:
             raise HttpFailure(
                 f'{request.method} {request.url}: {_describe(error)}', sent=True
@@ -123,6 +135,8 @@
         request: HttpRequest,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
+        *,
+        on_head: Callable[[], None],
     ) -> HttpResponse:
         connection = h11.Connection(h11.CLIENT)
         await self._send_request(request, connection, writer)
@@ -136,6 +150,7 @@
                     await request.pacer.take(len(received))
                 connection.receive_data(received)
             elif isinstance(event, h11.Response):
+                on_head()
                 incoming.status = event.status_code
                 incoming.headers = _read_headers(event)
             elif isinstance(event, h11.Data):
--- a/mangotrail/endpoints.py
+++ b/mangotrail/endpoints.py
@@ -22,6 +22,8 @@
 from mangotrail.pacing import Pacer, Purpose
 
 CALL_TIMEOUT_S = 5.0
+# An endpoint replies to a PUT at once and to a GET after its wait.
+HEAD_TIMEOUT_S = 10.0
 # Least rate that a paced transfer is expected to reach.
 MIN_TRANSFER_BYTES_S = 50_000
 MAX_KNOWN_ENDPOINTS = 10_000
@@ -114,7 +116,7 @@
             attempt,
             'PUT',
             attempt.path(),
-            timeout_s=attempt.transfer_s(),
+            wait_s=0,
             body=msgspec.json.encode(request),
         )
 
@@ -131,7 +133,7 @@
             attempt,
             'GET',
             f'{attempt.path()}?wait_s={wait_s}',
-            timeout_s=wait_s + attempt.transfer_s(),
+            wait_s=wait_s,
         )
 
     async def cancel(self, attempt: EndpointAttempt) -> None:
@@ -157,14 +159,15 @@
         method: str,
         url: str,
         *,
-        timeout_s: float,
+        wait_s: float,
         body: bytes = b'',
     ) -> EndpointReply:
         request = HttpRequest(
             method=method,
             url=url,
             purpose=Purpose.PAYLOAD if body else Purpose.ANSWER,
-            timeout_s=timeout_s,
+            timeout_s=wait_s + attempt.transfer_s(),
+            head_timeout_s=wait_s + HEAD_TIMEOUT_S,
             body=body,
             headers={'content-type': 'application/json'} if body else {},
             max_bytes=attempt.max_answer_bytes,
--- a/mangotrail/gateway.py
+++ b/mangotrail/gateway.py
@@ -332,7 +332,6 @@
             field_name='path',
             value=f'{request.method} {request.path}'[:200],
             remedy='Correct the path or the method.',
-            not_run=error.status == 404,
             status=error.status,
         )
     )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -96,16 +96,20 @@
 
 
 @asynccontextmanager
-async def serving(app: Application) -> AsyncGenerator[str, None]:
-    """Serve an application on a free port and return its base URL."""
-    port = free_port()
-    server = make_server(app, host='127.0.0.1', port=port)
-    task = asyncio.create_task(server.serve())
-    await until(lambda: server.started)
-    yield f'http://127.0.0.1:{port}'
-    server.should_exit = True
-    server.force_exit = True
-    await task
+async def serving(*apps: Application) -> AsyncGenerator[list[str], None]:
+    """Serve applications on free ports and return their base URLs."""
+    ports = [free_port() for _ in apps]
+    servers = [
+        make_server(app, host='127.0.0.1', port=port)
+        for app, port in zip(apps, ports, strict=True)
+    ]
+    tasks = [asyncio.create_task(server.serve()) for server in servers]
+    await until(lambda: all(server.started for server in servers))
+    yield [f'http://127.0.0.1:{port}' for port in ports]
+    for server in servers:
+        server.should_exit = True
+        server.force_exit = True
+    await asyncio.gather(*tasks)
 
 
 async def until(condition: Callable[[], bool]) -> None:
@@ -222,10 +226,8 @@
     site.running = asyncio.create_task(gateway.run())
     paths = PlatformPaths(platform=site.platform)
     expiring = asyncio.create_task(expire_leases(site.platform))
-    async with (
-        serving(paths.make_app()) as site.platform_url,
-        serving(site.endpoint.make_app()) as site.endpoint_url,
-    ):
+    async with serving(paths.make_app(), site.endpoint.make_app()) as urls:
+        site.platform_url, site.endpoint_url = urls
         await until(gateway.status.is_linked)
         await control.send(InForce(version=1, bundle=make_bundle()))
         await until(lambda: gateway.status.in_force is not None)
--- a/tests/test_peer_answers.py
+++ b/tests/test_peer_answers.py
@@ -67,7 +67,7 @@
     async def test_concurrent_callers_share_one_transfer(self) -> None:
         """Guards against paying for the same bytes more than once."""
         holder = Holder(ANSWER)
-        async with serving(holder.app) as url:
+        async with serving(holder.app) as (url,):
             port = int(url.rpartition(':')[2])
             async with running_site(port) as site:
                 await finish(site, 'i2')
@@ -84,7 +84,7 @@
     async def test_wrong_answer_of_a_peer_is_refused(self) -> None:
         """Guards against a cut or crossed answer from another instance."""
         holder = Holder(ANSWER[:-1])
-        async with serving(holder.app) as url:
+        async with serving(holder.app) as (url,):
             port = int(url.rpartition(':')[2])
             async with running_site(port) as site:
                 await finish(site, 'i2')
