Tighten four tests that a removed guard passed

Removing the digest check, the wait for the hand-over, the memory of reports or the record of a sent payload left their tests green. The tests now check the whole answer, the repeated report, the number of PUTs and the hellos of a gateway that still waits.

--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -57,6 +57,7 @@
         await site.control.wait_for(
             lambda: len(site.control.reported['job-1']) == 3
         )
+        assert site.control.reported['job-1'][2] == report
         assert len(site.platform.begins) == 2
 
     async def test_refused_prepare_names_the_worker(self, site: Site) -> None:
@@ -184,6 +185,8 @@
         await site.control.send(site.order())
         report = await site.control.wait_status('job-1', 'answered')
         assert (report.answer or b'').startswith(b'acme/job-1/render;')
+        assert report.answer_bytes == 64
+        assert site.endpoint.puts == 1
         assert site.endpoint.runs_by_request == {'acme/job-1': 1}
 
     async def test_endless_wrong_answers_are_unknown(self, site: Site) -> None:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -72,7 +72,12 @@
         await until(lambda: site.gateway.status.draining)
         await site.control.send(site.order('job-2'))
         await site.control.wait_status('job-2', 'nothing_ran')
-        assert not site.running.done()
+        await until(lambda: len(site.gateway.dispatcher.attempts) == 1)
+        heard = len(site.control.calls)
+        # A gateway that had already left would say hello no longer.
+        await site.control.wait_for(
+            lambda: len(site.control.calls) >= heard + 2
+        )
         await site.control.send(ReleaseOrder(job='job-1', attempt=1))
         await asyncio.wait_for(site.running, 20)
         assert not site.platform.ends
