--- a/mangotrail/_http_client.py
+++ b/mangotrail/_http_client.py
@@ -52,6 +52,7 @@
 class HttpRequest:
     """A request and the bounds of its response.
 
+    :param reply_purpose: what the response is for, if for something else.
     :param timeout_s: bound of the whole exchange in seconds.
     :param head_timeout_s: bound until the head of the response arrives, so
         that a silent peer is noticed long before a slow transfer is.
@@ -64,6 +65,7 @@
     purpose: Purpose
     timeout_s: float
     head_timeout_s: float | None = None
+    reply_purpose: Purpose | None = None
     body: bytes = b''
     headers: Mapping[str, str] = field(default_factory=dict)
     max_bytes: int = MAX_SMALL_BODY_BYTES
@@ -139,13 +141,14 @@
         on_head: Callable[[], None],
     ) -> HttpResponse:
         connection = h11.Connection(h11.CLIENT)
+        purpose = request.reply_purpose or request.purpose
         await self._send_request(request, connection, writer)
         incoming = _Incoming()
         while True:
             event = connection.next_event()
             if event is h11.NEED_DATA:
                 received = await reader.read(CHUNK_BYTES)
-                self.counts.received[request.purpose] += len(received)
+                self.counts.received[purpose] += len(received)
                 if request.pacer is not None:
                     await request.pacer.take(len(received))
                 connection.receive_data(received)
--- a/mangotrail/dispatch.py
+++ b/mangotrail/dispatch.py
@@ -25,7 +25,8 @@
 from mangotrail.ids import JobId
 from mangotrail.platform import lease_name
 
-MAX_REMEMBERED_REPORTS = 4096
+# At most 16 KiB of answer in each, so at most 8 MiB together.
+MAX_REMEMBERED_REPORTS = 512
 THROTTLE_TRIES = 3
 
 AttemptKey = tuple[JobId, int]
--- a/mangotrail/endpoints.py
+++ b/mangotrail/endpoints.py
@@ -166,6 +166,7 @@
             method=method,
             url=url,
             purpose=Purpose.PAYLOAD if body else Purpose.ANSWER,
+            reply_purpose=Purpose.ANSWER,
             timeout_s=wait_s + attempt.transfer_s(),
             head_timeout_s=wait_s + HEAD_TIMEOUT_S,
             body=body,
