Refuse the leave of another service's endpoint

A service credential could take any endpoint out of work. The gateway now compares the service where it knows the endpoint's announcement.

--- a/mangotrail/_http_endpoints.py
+++ b/mangotrail/_http_endpoints.py
@@ -5,6 +5,7 @@
 from mangotrail._gateway_parts import GatewayParts
 from mangotrail._http_common import (
     FailureReplyError,
+    Principal,
     Role,
     convert,
     decode_object,
@@ -20,7 +21,7 @@
     InvalidInputError,
     UnavailableError,
 )
-from mangotrail.ids import EndpointId
+from mangotrail.ids import EndpointId, ServiceId
 
 
 class EndpointPaths:
@@ -37,14 +38,7 @@
         principal = self.parts.authenticator.require(request, Role.SERVICE)
         body = await read_body(request, self.parts.settings.http)
         announcement = convert(decode_object(body), AnnounceEndpoint)
-        if announcement.service != principal.name:
-            raise ForbiddenError(
-                'The credential belongs to another service.',
-                field='service',
-                value=announcement.service,
-                allowed=principal.name,
-                remedy='Announce endpoints of the own service only.',
-            )
+        _require_own(principal, announcement.service)
         check_announcement(announcement)
         if not self.parts.status.is_linked():
             # The heartbeat would reach no leader from here.
@@ -58,8 +52,11 @@
 
     async def leave(self, request: Request) -> Response:
         """Take one generation of an endpoint out of new work."""
-        self.parts.authenticator.require(request, Role.SERVICE)
+        principal = self.parts.authenticator.require(request, Role.SERVICE)
         endpoint = EndpointId(read_path(request, 'endpoint'))
+        known = self.parts.book.known.get(endpoint)
+        if known is not None:
+            _require_own(principal, known.service)
         texts = request.query.get('generation')
         if not texts:
             raise InvalidInputError(
@@ -84,3 +81,14 @@
             self.parts.book.forget(announcement.endpoint)
             raise
         self.parts.book.admit(announcement)
+
+
+def _require_own(principal: Principal, service: ServiceId) -> None:
+    if principal.name != service:
+        raise ForbiddenError(
+            'The credential belongs to another service.',
+            field='service',
+            value=service,
+            allowed=principal.name,
+            remedy='Act on endpoints of the own service only.',
+        )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -47,7 +47,7 @@
 CREDENTIALS = Credentials(
     operators={'olga': 'operator-token'},
     accounts={'acme': 'acme-token', 'other': 'other-token'},
-    services={'box-planner': 'service-token'},
+    services={'box-planner': 'service-token', 'cart-desk': 'cart-token'},
 )
 
 
--- a/tests/test_http_endpoints.py
+++ b/tests/test_http_endpoints.py
@@ -108,6 +108,12 @@
     async def test_other_service_is_refused(self, site: Site) -> None:
         """Guards against an endpoint that takes another service's work."""
         assert await announce(site, service='cart-desk') == 403
+        assert await announce(site) == 200
+        error = await site.error(
+            'DELETE', f'{PATH}/e1?generation=3', token='cart-token'
+        )
+        assert error['code'] == 'forbidden'
+        assert not calls_of(site, LeaveEndpoint)
 
     @pytest.mark.parametrize('query', ['', '?generation=x', '?generation=0'])
     async def test_leave_names_its_generation(
