Count move work by running time and give small-bad-worker six workers

Change: move work counts the time for which started gangs run, less lost progress; small-bad-worker has two zones of three workers and keeps its stated outcome.

--- a/benchmarks/make_traces.py
+++ b/benchmarks/make_traces.py
@@ -678,7 +678,8 @@
     recorder.submit(1000, 'task', 60, fails=JobFailure.CRASH)
     recorder.submit(1100, 'task', 60, fails=JobFailure.ANSWER)
     return recorder.trace(
-        small_header('small-bad-worker', classes, {'one': []})
+        # Six workers, because at most 20% of a fleet may be in quarantine.
+        small_header('small-bad-worker', classes, {'one': []}, workers=3)
     )
 
 
--- a/benchmarks/replay.py
+++ b/benchmarks/replay.py
@@ -930,11 +930,12 @@
         if attempt.started_s is None:
             return
         run = attempt.run
-        gain = (self.now_s - attempt.settled_s) * attempt.rate
-        run.progress_s += gain
+        elapsed = self.now_s - attempt.settled_s
+        run.progress_s += elapsed * attempt.rate
         attempt.settled_s = self.now_s
+        # The pace is left out: it depends on wrong sizes, not on the move.
         if self.moving and self.zones[attempt.placement.zone] == ZoneState.IN:
-            self.tallies.move_work += gain * run.need
+            self.tallies.move_work += elapsed * run.need
 
     def settle_all(self) -> None:
         """Add the progress of all attempts, before zones change."""
