Give both worker sizes of the two-year trace fitting jobs

Cause: 300 of 1,100 accelerators sit on workers of four, which only small and wide jobs of the trace could use; they were free under every policy while gangs with members of eight waited, and counted as fragmentation.

--- a/benchmarks/make_traces.py
+++ b/benchmarks/make_traces.py
@@ -515,6 +515,7 @@
     rack = GangLevel.RACK
     worker = GangLevel.WORKER
     for number, team in enumerate(teams):
+        # Both sizes of worker get gangs and single jobs that fill them.
         large = number % 8 == 0
         accounts[team] = (
             [guarantee(Level.RACK, 32, 1)]
@@ -523,12 +524,20 @@
         )
         kinds = {
             'small': (shape(1, 2, worker), 3.0, 2.0),
-            'node': (shape(1, 8, worker), 1.2, 5.0),
-            'tasks': (shape(48, 0), 4.2, 8.3),
+            'node': (
+                (shape(1, 4, worker), 2.0, 5.0)
+                if number % 2
+                else (shape(1, 8, worker), 1.2, 5.0)
+            ),
+            'tasks': (shape(48, 0), 4.2, 8.7),
             'urgent': (shape(1, 1, worker), 0.4, 0.5),
         }
         if large:
-            kinds['gang'] = (shape(4, 8, rack), 2.8, 5.0)
+            kinds['gang'] = (
+                (shape(8, 4, rack), 2.8, 5.0)
+                if number % 16
+                else (shape(4, 8, rack), 2.8, 5.0)
+            )
             kinds['wide'] = (shape(64, 1), 1.0, 4.0)
         for kind, (gang, weight, hours) in kinds.items():
             name = f'{team}-{kind}'
