--- a/tests/test_guarantees.py
+++ b/tests/test_guarantees.py
@@ -167,6 +167,14 @@
         assert driver.now_s - asked_s <= 9
         assert places(driver.fail('b1')) == {'a1'}
 
+    def test_stop_right_after_checkpoint(self) -> None:
+        """An attempt that gave way must not count as failed."""
+        driver = self.build()
+        driver.run('b1', spec('b', size=4))
+        driver.submit('a1', spec('a', size=4))
+        assert places(driver.fail('b1')) == {'a1'}
+        assert driver.scheduler.core.jobs['b1'].failures == 0
+
     @pytest.mark.parametrize(
         'pinned', [{'preemptible': False}, {'idempotent': False}]
     )
@@ -176,6 +184,16 @@
         driver.submit('b1', spec('b', **pinned))
         assert 'b1' not in driver.placed
 
+    def test_preemptible_work_borrows_first(self) -> None:
+        """Work that must not stop can only use unguaranteed capacity."""
+        zones = [zone_spec('z', (2, 4))]
+        guaranteed = account('a', cells('worker', 4))
+        driver = Driver(make_bundle(zones, [guaranteed, account('b')]))
+        ((_, ((worker, _),)),) = driver.scheduler.core.guarantees.homes
+        driver.submit('soft', spec('b', size=4))
+        (member,) = driver.placed['soft'].placement.members
+        assert member.worker == worker.worker
+
     def test_home_moves_for_pinned_work(self) -> None:
         """A cell that nobody uses must not keep a gang out for ever."""
         driver = Driver(
