--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -1,5 +1,6 @@
 """Guards against a replay driver that counts wrongly or misses faults."""
 
+from collections import Counter
 from collections.abc import Callable, Mapping, Sequence
 
 import pytest
@@ -60,6 +61,7 @@
     ZoneId,
 )
 from mangotrail.policy import Policy
+from mangotrail.scheduler import Scheduler
 
 ONE = AccountId('one')
 TWO = AccountId('two')
@@ -107,6 +109,9 @@
                 'half': JobClass(
                     account=TWO, service=SERVICE, shape=shape(1, 4)
                 ),
+                'quarter': JobClass(
+                    account=TWO, service=SERVICE, shape=shape(1, 1)
+                ),
                 'once': JobClass(
                     account=ONE,
                     service=SERVICE,
@@ -284,6 +289,24 @@
         driver.run()
         assert driver.runs[FIRST].ended_s == pytest.approx(501)
 
+    def test_excess(self) -> None:
+        """What a job uses above its size slows its neighbours."""
+        large = SubmitLine(
+            at_s=0,
+            job=FIRST,
+            job_class='quarter',
+            runtime_s=50,
+            declared_s=50,
+            size=5,
+        )
+        lines = [large, submit(0, SECOND, 'quarter', 50)]
+        driver = Replay(trace=make_trace(lines), policy=FirstComePolicy())
+        driver.run()
+        # A quarter of the worker, four times its size too much: both run at
+        # half speed from 1 s on until the first ends, at the same time.
+        assert driver.runs[FIRST].ended_s == 101
+        assert driver.runs[SECOND].ended_s == 101
+
     def test_percentile(self) -> None:
         """The nearest rank is taken, not an interpolation."""
         assert percentile([4, 1, 3, 2], 0.5) == 2
@@ -467,6 +490,72 @@
         ) == {Rule.NOT_RUN_FALSE: 1}
 
 
+class TestScheduler:
+    """Outcomes of the small traces as benchmarks/traces/README.md states."""
+
+    def replay(self, name: str) -> Replay:
+        """Replay a small trace under the decision core."""
+        trace = read_trace(TRACES / f'{name}.jsonl')
+        driver = Replay(trace=trace, policy=Scheduler())
+        tallies = driver.run()
+        assert tallies.violations == {}, tallies.messages
+        return driver
+
+    def outcomes(self, driver: Replay) -> dict[Outcome | None, int]:
+        """How many jobs ended in which way."""
+        return dict(Counter(run.outcome for run in driver.runs.values()))
+
+    def test_reclaim(self) -> None:
+        """A guarantee that borrowers do not give back is worthless."""
+        driver = self.replay('small-reclaim')
+        assert self.outcomes(driver) == {Outcome.ANSWERED: 5}
+        owned = driver.runs[JobId('j5')]
+        assert owned.started_s is not None
+        assert owned.started_s - owned.line.at_s <= 32
+
+    def test_gang(self) -> None:
+        """Small jobs that keep coming must not starve a gang."""
+        driver = self.replay('small-gang')
+        assert self.outcomes(driver) == {Outcome.ANSWERED: 61}
+        gang = driver.runs[JobId('j61')]
+        assert gang.started_s is not None
+        assert gang.started_s - gang.line.at_s <= 2400
+
+    def test_evacuation(self) -> None:
+        """Work of a zone that leaves goes on in the other zone."""
+        driver = self.replay('small-evacuation')
+        assert self.outcomes(driver) == {Outcome.ANSWERED: 3}
+        assert driver.tallies.killed_by_zone == 0
+        evacuated = driver.runs[JobId('j1')]
+        assert evacuated.ended_s is not None
+        assert evacuated.saved_s >= 590
+        assert evacuated.ended_s < 4 * 3600
+
+    def test_bad_worker(self) -> None:
+        """A worker that fails everything must not lose sound jobs."""
+        driver = self.replay('small-bad-worker')
+        sound = driver.counted_runs()
+        assert {run.outcome for run in sound} == {Outcome.ANSWERED}
+        assert len(sound) == 12
+        crashing = driver.runs[JobId('j13')]
+        assert crashing.last_attempt <= 3
+        assert crashing.outcome not in {Outcome.ANSWERED, None}
+
+    def test_cancellations(self) -> None:
+        """A cancelled job ends as cancelled and an impossible one as not run."""
+        driver = self.replay('small-cancellations')
+        assert self.outcomes(driver) == {
+            Outcome.ANSWERED: 5,
+            Outcome.CANCELLED: 5,
+            Outcome.NOT_RUN: 1,
+        }
+
+    def test_wrong_times(self) -> None:
+        """Declared run times that are wrong must not lose a job."""
+        driver = self.replay('small-wrong-times')
+        assert self.outcomes(driver) == {Outcome.ANSWERED: 15}
+
+
 class TestTraces:
     """Committed traces."""
 
