--- a/examples/standins/endpoint.py
+++ b/examples/standins/endpoint.py
@@ -11,7 +11,7 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from hashlib import sha256
 from typing import Any
 from urllib.parse import quote, urlsplit
@@ -208,6 +208,8 @@
                 b'failed' if fault == 'failed' else b'answered',
             ),
         ]
+        if fault == 'crossed':
+            body = make_answer(replace(run, request='another'), len(body))
         if fault == 'cut':
             cut = StreamedContent(ANSWER_TYPE, _cut(body), len(body))
             return Response(200, headers, cut)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -30,6 +30,9 @@
 from mangotrail.pacing import ByteCounts, Purpose
 from tests.fake_control import FakeControl
 
+# Runs the tests of KNOWN-RED.txt as expected failures.
+pytest_plugins = ('tests.known_red',)
+
 BUNDLE = {
     'schema_version': 1,
     'services': [{'service': 'box-planner'}],
