Measure the cost of each process at parts of the design size

Cause: no run showed whether a control process keeps 2.9% of a core, 32 MB and 10 KB a second at 580 workers and 9,900 tasks. Change: make capacity starts the real processes and the stand-ins at 0.1, 0.5 and 1 of the design size, reads processor time and resident memory from /proc and bytes from the dumps, and fits a line for each role and resource.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install demo test measure check format format-check lint typecheck generate generate-check docs clean
+.PHONY: install demo test measure capacity check format format-check lint typecheck generate generate-check docs clean
 
 # The stamp is renewed whenever a pinned version changes.
 .venv/stamp: requirements.lock pyproject.toml
@@ -49,3 +49,7 @@
 # The last line of the output is one JSON object.
 measure: install
 	$(BIN)/python -m benchmarks.measure
+
+# Takes about five minutes; the last line of the output is one JSON object.
+capacity: install
+	$(BIN)/python -m benchmarks.capacity
