Count the sent bytes of a control process by purpose

Cause: the dump of a control process gave one sum of sent bytes, so the part of each message in the budget of 10 KB a second was unknown. Change: PeerLink.send takes a purpose and the dump lists sent_by_purpose: agreement, and the type of each call, reply and order.

--- a/mangotrail/_control_views.py
+++ b/mangotrail/_control_views.py
@@ -35,6 +35,7 @@
         'agreement': replica.status(),
         'link': {
             'sent_bytes': link.sent_bytes,
+            'sent_by_purpose': link.sent_by_purpose,
             'received_bytes': link.received_bytes,
             'refused_frames': link.refused_frames,
         },
--- a/mangotrail/_peer_link.py
+++ b/mangotrail/_peer_link.py
@@ -1,5 +1,6 @@
 """Frames between the control processes of one deployment, over TCP."""
 
+from collections import Counter
 from collections.abc import AsyncIterator
 from enum import Enum
 
@@ -59,6 +60,7 @@
         self.metrics = metrics
         self.refused_frames = 0
         self.sent_bytes = 0
+        self.sent_by_purpose: Counter[str] = Counter()
         self.received_bytes = 0
         self.context = zmq.asyncio.Context()
         self.inbound = self.context.socket(zmq.ROUTER)
@@ -81,8 +83,19 @@
             if peer.instance != own.instance:
                 self.outbound[peer.instance] = self._connect(peer)
 
-    def send(self, instance: InstanceId, kind: FrameKind, body: bytes) -> None:
-        """Send one frame, or drop it if the peer has been away for long."""
+    def send(
+        self,
+        instance: InstanceId,
+        kind: FrameKind,
+        body: bytes,
+        *,
+        purpose: str = '',
+    ) -> None:
+        """Send one frame, or drop it if the peer has been away for long.
+
+        :param purpose: what the bytes are counted under in a dump; the kind
+            by default.
+        """
         socket = self.outbound.get(instance)
         if socket is None:
             return
@@ -96,6 +109,7 @@
         )
         encoded = self.encoder.encode(frame)
         self.sent_bytes += len(encoded)
+        self.sent_by_purpose[purpose or kind.value] += len(encoded)
         self.metrics.count(LINK_BYTES, len(encoded), kind.value)
         try:
             socket.send(encoded, zmq.NOBLOCK)
--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -223,7 +223,7 @@
         call = ForwardedCall(
             number=number, instance=self.settings.instance, body=body
         )
-        self._send_control(leader, call)
+        self._send_control(leader, call, purpose=type(body).__name__)
         try:
             return await asyncio.wait_for(future, FORWARD_TIMEOUT_S)
         except TimeoutError:
@@ -275,7 +275,9 @@
     ) -> None:
         body = await self._call_leader(instance, call.body)
         self._send_control(
-            instance, ForwardedReply(number=call.number, body=body)
+            instance,
+            ForwardedReply(number=call.number, body=body),
+            purpose=type(body).__name__,
         )
 
     async def _serve_gateway(self) -> None:
@@ -364,13 +366,17 @@
             self._push(order)
             return
         encoded = msgspec.msgpack.encode(order)
-        self._send_control(instance, GatewayOrder(order=encoded))
+        self._send_control(
+            instance,
+            GatewayOrder(order=encoded),
+            purpose=type(order).__name__,
+        )
 
     def _send_control(
-        self, instance: InstanceId, message: ControlMessage
+        self, instance: InstanceId, message: ControlMessage, *, purpose: str
     ) -> None:
         encoded = msgspec.msgpack.encode(message)
-        self.link.send(instance, FrameKind.CONTROL, encoded)
+        self.link.send(instance, FrameKind.CONTROL, encoded, purpose=purpose)
 
     def _push(self, message: GatewayMessage) -> None:
         self._push_encoded(msgspec.msgpack.encode(message))
