Repeat the orders of running gangs only where an attempt is missing

Cause: the leader sent the dispatch order of every running gang, with its payload, each 5 s. Change: the order is repeated each 5 s only while the attempts in the last hello of the gateway differ from those in the state for 3 s, and each 300 s otherwise. An order to adopt carries no payload: the attempt is never sent to the endpoint again.

--- a/mangotrail/_fleet.py
+++ b/mangotrail/_fleet.py
@@ -76,6 +76,11 @@
             return now_s - self.started_s < GATEWAY_TIMEOUT_S
         return seen.hello.ready and now_s - seen.heard_s < GATEWAY_TIMEOUT_S
 
+    def attempts(self, instance: InstanceId) -> int:
+        """Return the attempts that a gateway has, as its last hello said."""
+        seen = self.gateways.get(instance)
+        return 0 if seen is None else seen.hello.attempts
+
     def dispatcher_for(
         self, zone: ZoneId, origin: InstanceId, now_s: float
     ) -> InstanceId | None:
--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -1,7 +1,8 @@
 """Work of the leading control process: decisions, orders and reports."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Mapping
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping, Sequence
 from typing import Any, TypeAlias, cast
 
 import msgspec
@@ -82,8 +83,14 @@
 
 # Orders may be lost on the way, so unanswered ones are sent again.
 ORDER_REPEAT_S = 1.0
-# A gateway that lost an order of a running gang adopts it within this time.
+# A gateway that lost an order of a running gang adopts it within this time,
+# well before the leases end.
 ADOPT_REPEAT_S = 5.0
+# A hello takes up to a second to show an attempt that began or ended.
+COUNT_SETTLE_S = 3.0
+# Finds an attempt that was lost while another one lingered, so that the count
+# was right. Repeating every order each 5 s took 100 KB/s at 9,900 tasks.
+ADOPT_AUDIT_S = 300.0
 EXPIRE_PERIOD_S = 600.0
 
 
@@ -116,6 +123,7 @@
         self.faulty_workers: dict[JobId, WorkerId] = {}
         self.stops: dict[JobId, tuple[StopOrder, float]] = {}
         self.order_sent_s: dict[JobId, float] = {}
+        self.count_differs_s: dict[InstanceId, float] = {}
         self.adopted: set[JobId] = set()
         self.quarantined: dict[WorkerId, str] = {}
         self.proposals: set[asyncio.Task[None]] = set()
@@ -193,9 +201,14 @@
             self.send_order(instance, order)
         if self.fleet.endpoints_changed(self.replica.state, now_s):
             self._feed_endpoints()
-        for record in tuple(self.replica.state.unfinished_jobs()):
-            if record.state is not JobState.QUEUED:
-                self._supervise(record, now_s)
+        dispatched = tuple(
+            record
+            for record in self.replica.state.unfinished_jobs()
+            if record.state is not JobState.QUEUED
+        )
+        self._compare_counts(dispatched, now_s)
+        for record in dispatched:
+            self._supervise(record, now_s)
         if now_s - self.expired_s > EXPIRE_PERIOD_S:
             self.expired_s = now_s
             self._propose(ExpireRecords())
@@ -308,6 +321,25 @@
         self.order_sent_s.pop(job, None)
         self.adopted.discard(job)
 
+    def _compare_counts(
+        self, dispatched: Sequence[JobRecord], now_s: float
+    ) -> None:
+        """Note since when a gateway has not the attempts it should have."""
+        wanted = Counter(record.dispatcher for record in dispatched)
+        for instance in self.fleet.gateways:
+            if self.fleet.attempts(instance) == wanted[instance]:
+                self.count_differs_s.pop(instance, None)
+            else:
+                self.count_differs_s.setdefault(instance, now_s)
+
+    def _repeat_period_s(self, record: JobRecord, now_s: float) -> float:
+        if record.state is not JobState.RUNNING or record.dispatcher is None:
+            return ORDER_REPEAT_S
+        differs_s = self.count_differs_s.get(record.dispatcher, now_s)
+        if now_s - differs_s >= COUNT_SETTLE_S:
+            return ADOPT_REPEAT_S
+        return ADOPT_AUDIT_S
+
     def _supervise(self, record: JobRecord, now_s: float) -> None:
         """Repeat orders of one attempt, or give it another dispatcher."""
         if record.dispatcher is None or record.placement is None:
@@ -326,8 +358,7 @@
             self.adopted.add(record.job)
             self._dispatch(record)
             return
-        running = record.state is JobState.RUNNING
-        if now_s - sent_s >= (ADOPT_REPEAT_S if running else ORDER_REPEAT_S):
+        if now_s - sent_s >= self._repeat_period_s(record, now_s):
             self._dispatch(record)
 
     def _replace_dispatcher(self, record: JobRecord, now_s: float) -> None:
@@ -349,15 +380,16 @@
         if record.placement is None or record.dispatcher is None:
             return
         self.order_sent_s[record.job] = self.clock.age_s()
+        adopt = record.job in self.adopted or record.state is JobState.RUNNING
         self.send_order(
             record.dispatcher,
             DispatchOrder(
                 job=record.job,
                 attempt=record.attempt,
-                job_spec=record.job_spec,
+                # An adopted attempt is never sent to the endpoint again.
+                job_spec=_light(record) if adopt else record.job_spec,
                 placement=record.placement,
-                adopt=record.job in self.adopted
-                or record.state is JobState.RUNNING,
+                adopt=adopt,
             ),
         )
 
