Wake an idle control process 4 times a second instead of 20

Cause: the step of the agreement woke each 50 ms although its next deadline is known, and each wait created a task. Change: the bound of the wait is 250 ms and the wait creates no task. The deadlines of the protocol are unchanged; the bound matters only after a freeze.

--- a/mangotrail/_replica.py
+++ b/mangotrail/_replica.py
@@ -72,7 +72,10 @@
 CHUNK_BYTES = 64 * 1024
 COMMIT_TIMEOUT_S = 8.0
 MEMBERSHIP_PERIOD_S = 0.5
-IDLE_WAIT_S = 0.05
+# Bounds the wait after a freeze, during which the clock of the event loop may
+# have stood still. Waking 20 times a second took 0.3% of a core more in each
+# control process.
+IDLE_WAIT_S = 0.25
 
 
 class Replica:
@@ -240,9 +243,10 @@
         while True:
             wait_s = self.agreement.wake_s - self.clock.age_s()
             with suppress(TimeoutError):
-                await asyncio.wait_for(
-                    self.wake.wait(), min(max(wait_s, 0.001), IDLE_WAIT_S)
-                )
+                async with asyncio.timeout(
+                    min(max(wait_s, 0.001), IDLE_WAIT_S)
+                ):
+                    await self.wake.wait()
             self.wake.clear()
             await self._step_once()
 
