Keep equal members of placements once in the replicated state

Cause: each of 9,910 members of running gangs was an object with its own worker id and its own list, although most need no accelerator. Result: at 9,910 tasks a follower had 34.0 to 34.2 MB resident before and 32.5 to 32.9 MB after, the leader 37.0 and 35.5 MB; the budget is 32 MB.

--- a/mangotrail/state.py
+++ b/mangotrail/state.py
@@ -1,6 +1,7 @@
 """Replicated state: the same commands in the same order give the same state."""
 
 from collections.abc import Callable, Iterator, Mapping
+from functools import lru_cache
 from typing import Any, TypeAlias, cast
 
 import msgspec
@@ -34,6 +35,7 @@
     JobReply,
     JobState,
     LeaveEndpoint,
+    MemberPlacement,
     OperationRecord,
     ReplyBody,
     RequeueJob,
@@ -63,6 +65,7 @@
     JobId,
     OperationId,
     RequestId,
+    WorkerId,
     ZoneId,
 )
 
@@ -139,7 +142,9 @@
         self.endpoints = {
             record.endpoint: record for record in snapshot.endpoints
         }
-        self.jobs = {record.job: record for record in snapshot.jobs}
+        self.jobs = {
+            record.job: _with_shared_members(record) for record in snapshot.jobs
+        }
         self.job_keys = {
             _key_of(record): record.job for record in snapshot.jobs
         }
@@ -392,7 +397,9 @@
         endpoint = self.endpoints.get(body.placement.endpoint)
         left = endpoint is None or endpoint.left
         return self._keep(
-            grant(record, body, time_s, zone_state, endpoint_left=left)
+            _with_shared_members(
+                grant(record, body, time_s, zone_state, endpoint_left=left)
+            )
         )
 
     def _start(self, body: StartJob, time_s: float) -> ReplyBody:
@@ -428,6 +435,29 @@
         return Accepted()
 
 
+@lru_cache(maxsize=8192)
+def _shared_member(
+    worker: WorkerId, accelerators: tuple[int, ...]
+) -> MemberPlacement:
+    return MemberPlacement(worker=worker, accelerators=accelerators)
+
+
+def _with_shared_members(record: JobRecord) -> JobRecord:
+    """Keep equal members of all placements once.
+
+    Most tasks need no accelerator, so 9,900 members of 580 workers are few
+    different ones. Separate ones took 2 MB of the 32 MB of a process.
+    """
+    placement = record.placement
+    if placement is None:
+        return record
+    members = tuple(
+        _shared_member(member.worker, tuple(member.accelerators))
+        for member in placement.members
+    )
+    return replace(record, placement=replace(placement, members=members))
+
+
 def _key_of(record: JobRecord) -> JobKey:
     return record.job_spec.account, record.job_spec.request
 
