--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -116,6 +116,8 @@
     running_jobs: int
     changes: int
     entries: int
+    log_entries: int
+    bundles: int
     journal_bytes: int
     costs: Sequence[Cost]
 
@@ -179,14 +181,24 @@
     """A deployment of one size and its measurements.
 
     :param part: part of the two-year size.
-    :param seconds: length of each interval.
+    :param seconds: length of an interval without changes.
+    :param change_seconds: length of the interval with changes.
     """
 
     def __init__(
-        self, folder: Path, *, part: float, base_port: int, seconds: float
+        self,
+        folder: Path,
+        *,
+        part: float,
+        base_port: int,
+        seconds: float,
+        change_seconds: float,
+        change_period_s: float,
     ) -> None:
         self.part = part
         self.seconds = seconds
+        self.change_seconds = change_seconds
+        self.change_period_s = change_period_s
         self.bundle = make_bundle(part)
         self.deployment = self._make_deployment(folder, base_port)
         self.specs = self._make_specs()
@@ -324,6 +336,9 @@
             running_jobs=jobs,
             changes=changes,
             entries=_entries(dumps, leader) - entries,
+            log_entries=_entries(dumps, leader)
+            - int(dumps[f'control-{leader}']['agreement']['snapshot_index']),
+            bundles=int(dumps[f'control-{leader}']['state']['bundles']),
             journal_bytes=self._journal_bytes(leader) - journal,
             costs=[
                 _cost(
@@ -342,8 +357,8 @@
             time.sleep(self.seconds)
             return 0
         changes = 0
-        while time.monotonic() - started_s < self.seconds:
-            next_s = started_s + (changes + 1) * CHANGE_PERIOD_S
+        while time.monotonic() - started_s < self.change_seconds:
+            next_s = started_s + (changes + 1) * self.change_period_s
             self.version = self.deployment.put_bundle_in_force(
                 _change(self.bundle, changes)
             )
@@ -564,7 +579,8 @@
     print(
         f'part {interval.part:.2f} {interval.kind}: {interval.running_jobs}'
         f' gangs, {interval.running_tasks} tasks, {interval.changes} changes,'
-        f' {interval.entries} entries, {interval.journal_bytes} journal bytes'
+        f' {interval.entries} entries, {interval.journal_bytes} journal bytes,'
+        f' log of {interval.log_entries} entries, {interval.bundles} bundles'
         f' in {interval.seconds:.1f} s, machine load {interval.load}'
     )
     for cost in interval.costs:
@@ -582,6 +598,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--parts', default='0.1,0.5,1')
     parser.add_argument('--seconds', type=float, default=15)
+    parser.add_argument('--change_seconds', type=float)
+    parser.add_argument(
+        '--change_period_s', type=float, default=CHANGE_PERIOD_S
+    )
     options = parser.parse_args()
     intervals: list[Interval] = []
     delays_s: dict[str, list[float]] = {}
@@ -593,6 +613,8 @@
                 part=float(text),
                 base_port=BASE_PORT + number * PORTS_PER_SIZE,
                 seconds=options.seconds,
+                change_seconds=options.change_seconds or options.seconds,
+                change_period_s=options.change_period_s,
             )
             measured = size.run()
         intervals += measured
