--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -16,6 +16,7 @@
 from mangotrail._fleet import Fleet
 from mangotrail._leader import Leader
 from mangotrail._messages import (
+    Accepted,
     Call,
     CallBody,
     Command,
@@ -36,12 +37,14 @@
     QueryCall,
     Reply,
     ReplyBody,
+    UsageCall,
     View,
     WaitCall,
 )
 from mangotrail._peer_link import Frame, FrameKind, PeerLink, tcp_url
 from mangotrail._replica import Replica, open_replica
 from mangotrail._settings import Credentials, Settings
+from mangotrail._usage_delta import UsageDelta
 from mangotrail.clock import Clock, SystemClock
 from mangotrail.errors import (
     MangotrailError,
@@ -96,6 +99,7 @@
         self.gateway_socket.setsockopt(zmq.LINGER, 0)
         self.gateway_identity: bytes | None = None
         self.gateway_version = 0
+        self.usage = UsageDelta()
         self.message_decoder = msgspec.msgpack.Decoder(ControlMessage)
         self.call_decoder = msgspec.msgpack.Decoder(Call)
 
@@ -141,10 +145,25 @@
             return DocumentReply(body=self.dump())
         if isinstance(body, WaitCall):
             return await self._wait(body)
+        if isinstance(body, UsageCall):
+            return await self._pass_usage(body)
         if isinstance(body, GatewayHello):
             self._update_gateway(body.bundle_version)
         return await self._ask_leader(body)
 
+    async def _pass_usage(self, body: UsageCall) -> ReplyBody:
+        term = self.replica.term()
+        now_s = self.clock.age_s()
+        news = self.usage.select(body.usage, term=term, now_s=now_s)
+        if not news:
+            return Accepted()
+        reply = await self._ask_leader(
+            msgspec.structs.replace(body, usage=news)
+        )
+        if not isinstance(reply, Failure):
+            self.usage.note(news, now_s)
+        return reply
+
     async def _wait(self, body: WaitCall) -> ReplyBody:
         """Wait for the end of a job in the local copy of the state."""
         key = (body.account, body.request)
@@ -223,7 +242,7 @@
         call = ForwardedCall(
             number=number, instance=self.settings.instance, body=body
         )
-        self._send_control(leader, call)
+        self._send_control(leader, call, purpose=type(body).__name__)
         try:
             return await asyncio.wait_for(future, FORWARD_TIMEOUT_S)
         except TimeoutError:
@@ -275,7 +294,9 @@
     ) -> None:
         body = await self._call_leader(instance, call.body)
         self._send_control(
-            instance, ForwardedReply(number=call.number, body=body)
+            instance,
+            ForwardedReply(number=call.number, body=body),
+            purpose=type(body).__name__,
         )
 
     async def _serve_gateway(self) -> None:
@@ -364,13 +385,17 @@
             self._push(order)
             return
         encoded = msgspec.msgpack.encode(order)
-        self._send_control(instance, GatewayOrder(order=encoded))
+        self._send_control(
+            instance,
+            GatewayOrder(order=encoded),
+            purpose=type(order).__name__,
+        )
 
     def _send_control(
-        self, instance: InstanceId, message: ControlMessage
+        self, instance: InstanceId, message: ControlMessage, *, purpose: str
     ) -> None:
         encoded = msgspec.msgpack.encode(message)
-        self.link.send(instance, FrameKind.CONTROL, encoded)
+        self.link.send(instance, FrameKind.CONTROL, encoded, purpose=purpose)
 
     def _push(self, message: GatewayMessage) -> None:
         self._push_encoded(msgspec.msgpack.encode(message))
