--- a/mangotrail/_reservation.py
+++ b/mangotrail/_reservation.py
@@ -1,12 +1,11 @@
 """Where a gang at the head of the queue will be able to start first."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import NamedTuple
 
 from mangotrail._blocks import count_blocks, full_mask
-from mangotrail._messages import GangLevel
 from mangotrail.ids import JobId
-from mangotrail.placement import Want, spot_on
+from mangotrail.placement import Want, domains_of, spot_on
 from mangotrail.topology import Spot, Worker, Zone
 
 
@@ -41,7 +40,7 @@
     """
     choices: list[Reservation] = []
     for zone in zones:
-        for domain in _domains(zone, want.shape.level):
+        for domain in domains_of(zone, want.shape.level):
             offers = [
                 offer
                 for worker in domain
@@ -53,14 +52,6 @@
     return sorted(choices, key=lambda one: one.ready_s)
 
 
-def _domains(zone: Zone, level: GangLevel) -> list[Sequence[Worker]]:
-    if level is GangLevel.WORKER:
-        return [(worker,) for worker in zone.workers]
-    if level is GangLevel.RACK:
-        return [rack.workers for rack in zone.racks]
-    return [zone.workers]
-
-
 def _offers(
     worker: Worker,
     want: Want,
--- a/mangotrail/placement.py
+++ b/mangotrail/placement.py
@@ -280,7 +280,7 @@
             for zone in topology.zones.values()
             if any(
                 _capacity(domain, shape) >= shape.members
-                for domain in _domains(zone, shape.level)
+                for domain in domains_of(zone, shape.level)
             )
         ]
         topology.holding[shape] = zones
@@ -291,7 +291,8 @@
     return sum(_members_when_empty(worker, shape) for worker in domain)
 
 
-def _domains(zone: Zone, level: GangLevel) -> list[tuple[Worker, ...]]:
+def domains_of(zone: Zone, level: GangLevel) -> list[tuple[Worker, ...]]:
+    """Return the parts of a zone that must hold a whole gang."""
     if level is GangLevel.WORKER:
         return [(worker,) for worker in zone.workers]
     if level is GangLevel.RACK:
