Add the soak run, restore all resources before work is placed

Cause: a new leader fed cancellations between restored jobs, so that work could be placed on accelerators that a job restored later holds; another service could take over an endpoint id with a higher generation. Change: cancellations follow the last restored job; learned run times are restored; the state refuses an endpoint id of another service; make soak and make prove.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install demo test measure capacity check format format-check lint typecheck generate generate-check docs clean
+.PHONY: install demo test measure soak prove capacity check format format-check lint typecheck generate generate-check docs clean
 
 # The stamp is renewed whenever a pinned version changes.
 .venv/stamp: requirements.lock pyproject.toml
@@ -53,3 +53,15 @@
 # Takes about five minutes; the last line of the output is one JSON object.
 capacity: install
 	$(BIN)/python -m benchmarks.capacity
+
+SEEDS ?= 1000
+SECONDS ?= 300
+FIRST ?= 0
+
+# Random faults for longer than CI; the last line of the output is JSON.
+soak: install
+	$(BIN)/python -m benchmarks.soak --seeds=$(SEEDS) --seconds=$(SECONDS) --first=$(FIRST)
+
+# Each promise's test without and with its mechanism.
+prove: install
+	$(BIN)/python -m tools.prove
--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -145,11 +145,23 @@
             )
         self._feed_endpoints()
         now_s = self.clock.wall_s()
-        for record in state.unfinished_jobs():
+        self._restore_estimates()
+        unfinished = tuple(state.unfinished_jobs())
+        for record in unfinished:
             self.feed(_restored(record, now_s))
+        # Only once all resources are held again may an event place work.
+        for record in unfinished:
             if record.cancel_requested:
                 self.feed(JobCancelled(job=record.job))
 
+    def _restore_estimates(self) -> None:
+        for record in self.replica.state.jobs.values():
+            if record.outcome is Outcome.ANSWERED and record.runtime_s:
+                spec = record.job_spec
+                self.policy.learn_runtime(
+                    spec.account, spec.job_kind, record.runtime_s
+                )
+
     def feed(self, event: Event) -> None:
         """Give the policy one event and act on its decisions."""
         if isinstance(event, BundleApplied):
--- a/mangotrail/_messages.py
+++ b/mangotrail/_messages.py
@@ -754,7 +754,7 @@
     FrozenStruct, frozen=True, kw_only=True, tag_field='kind', tag='throttle'
 ):
     """
-    Bounds the share of a worker that an attempt may use.
+    Bounds the share of its declared size that an attempt may use.
     """
 
     job: Annotated[JobId, Meta(max_length=128)]
--- a/mangotrail/state.py
+++ b/mangotrail/state.py
@@ -53,6 +53,7 @@
 from mangotrail.errors import (
     BundleConflictError,
     BundleStateError,
+    ForbiddenError,
     MangotrailError,
     RequestConflictError,
     StaleGenerationError,
@@ -323,6 +324,7 @@
             )
         known = self.endpoints.get(body.endpoint)
         if known is not None:
+            _check_service(known, body.service)
             _check_generation(known, body.generation)
             if known.generation == body.generation:
                 return Accepted(version=known.generation)
@@ -462,6 +464,17 @@
     return record.job_spec.account, record.job_spec.request
 
 
+def _check_service(known: EndpointRecord, service: ServiceId) -> None:
+    """Reject an announcement that takes the id of another service."""
+    if known.service != service and not known.left:
+        raise ForbiddenError(
+            'the endpoint id belongs to another service',
+            field='endpoint',
+            value=known.endpoint,
+            remedy='announce under an id of its own',
+        )
+
+
 def _check_generation(known: EndpointRecord, generation: int) -> None:
     """Reject an announcement that the endpoint has itself superseded."""
     if generation > known.generation:
--- a/tests/factories.py
+++ b/tests/factories.py
@@ -131,13 +131,15 @@
             )
         )
 
-    def announce(self, generation: int = 1) -> CommandResult:
+    def announce(
+        self, generation: int = 1, service: ServiceId = SERVICE
+    ) -> CommandResult:
         """Announce the endpoint."""
         return self.apply(
             AnnounceEndpoint(
                 endpoint=ENDPOINT,
                 generation=generation,
-                service=SERVICE,
+                service=service,
                 zone=ZONE,
                 url='http://127.0.0.1:2',
             )
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -48,11 +48,12 @@
     'transfer',
     'propose',
 )
+PAUSES = (0.01, 0.1, 0.5, 1.3, 3)
 steps = st.lists(
     st.tuples(
         st.sampled_from(FAULTS),
         st.integers(0, 4),
-        st.sampled_from((0.01, 0.1, 0.5, 1.3, 3)),
+        st.sampled_from(PAUSES),
     ),
     min_size=15,
     max_size=40,
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -1,7 +1,9 @@
 """Guards the rules that the replicated state must keep on its own."""
 
+import msgspec
 import pytest
 
+from mangotrail._bundle import ServiceSpec
 from mangotrail._messages import (
     Accepted,
     BundleState,
@@ -20,12 +22,13 @@
     SubmitJob,
     ZoneState,
 )
-from mangotrail.ids import OperationId
+from mangotrail.ids import OperationId, ServiceId
 from mangotrail.state import State
 from tests.factories import (
     ACCOUNT,
     ENDPOINT,
     INSTANCE,
+    SERVICE,
     ZONE,
     StateDriver,
     make_bundle,
@@ -108,6 +111,21 @@
         assert late.code == 'stale_generation'
         assert isinstance(driver.announce(generation=2), Accepted)
 
+    def test_id_of_another_service(self) -> None:
+        """A service must not take requests away from another's endpoint."""
+        driver = StateDriver()
+        services = (SERVICE, ServiceId('other'))
+        bundle = msgspec.structs.replace(
+            make_bundle(),
+            services=[ServiceSpec(service=service) for service in services],
+        )
+        driver.put_in_force(bundle)
+        driver.announce()
+        other = driver.announce(generation=2, service=services[1])
+        assert isinstance(other, Failure)
+        assert other.code == 'forbidden'
+        assert driver.state.endpoints[ENDPOINT].service == SERVICE
+
     def test_no_grant_after_leaving(self) -> None:
         """A grant decided before the departure must not be accepted after it."""
         driver = ready_driver()
