--- a/mangotrail/state.py
+++ b/mangotrail/state.py
@@ -66,6 +66,7 @@
     JobId,
     OperationId,
     RequestId,
+    ServiceId,
     WorkerId,
     ZoneId,
 )
