Date reservations again once run times of their holders are learned

Cause: a reservation made while run times were unknown kept a date four hours ahead after the run times were learned, so small jobs backfilled again and again.

Change: such a reservation is dated again every 10 s until the run times of all holders are known. Its date only moves forward in time towards the start of the gang; a reservation dated by known run times keeps its date.

--- a/mangotrail/_core.py
+++ b/mangotrail/_core.py
@@ -37,11 +37,13 @@
     """Where a job will start once its claim is free.
 
     :param before_s: expected time, minus infinity if others were preempted.
+    :param guessed: whether the run time of a holder was unknown then.
     """
 
     zone: Zone
     spots: tuple[Spot, ...]
     before_s: float
+    guessed: bool = False
 
     @property
     def is_reservation(self) -> bool:
--- a/mangotrail/_preemption.py
+++ b/mangotrail/_preemption.py
@@ -89,6 +89,8 @@
     core.queue_of(job).set_aside(job)
     job.phase = Phase.CLAIMING
     pending = Pending(zone=zone, spots=tuple(spots), before_s=before_s)
+    if pending.is_reservation:
+        pending = pending._replace(guessed=_is_guess(core, pending.spots))
     core.claims[job.job] = pending
     for spot in pending.spots:
         spot.worker.add_claim(
@@ -102,6 +104,37 @@
         )
 
 
+def date_again(core: Core, job: Job) -> None:
+    """Bring a reservation forward that was dated by unknown run times.
+
+    Its date only moves forward: work that backfills must not extend it.
+    """
+    pending = core.claims[job.job]
+    holders = _holders(pending.spots)
+    ends_s = [core.expected_end_s(holder) for holder in holders]
+    before_s = min(pending.before_s, max(ends_s, default=core.now_s))
+    core.claims[job.job] = pending._replace(
+        before_s=before_s, guessed=_is_guess(core, pending.spots)
+    )
+    for spot in pending.spots:
+        claims = spot.worker.claims
+        claims[job.job] = claims[job.job]._replace(before_s=before_s)
+
+
+def _holders(spots: Iterable[Spot]) -> set[JobId]:
+    return {
+        holder
+        for spot in spots
+        for holder, hold in spot.worker.holds.items()
+        if hold.mask & spot.mask
+    }
+
+
+def _is_guess(core: Core, spots: Iterable[Spot]) -> bool:
+    kinds = {core.jobs[holder].kind for holder in _holders(spots)}
+    return any(core.estimates.longest_s(kind) is None for kind in kinds)
+
+
 def is_broken(job: Job, pending: Pending) -> bool:
     """Tell whether a claim can no longer be served where it is."""
     return any(
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -8,7 +8,13 @@
 from mangotrail._core import Core
 from mangotrail._jobs import Job, Phase
 from mangotrail._messages import MemberPlacement, Placement
-from mangotrail._preemption import claim, is_broken, is_ready, reclaim
+from mangotrail._preemption import (
+    claim,
+    date_again,
+    is_broken,
+    is_ready,
+    reclaim,
+)
 from mangotrail._quarantine import release
 from mangotrail._reservation import Reservation, reservations
 from mangotrail.events import Place
@@ -66,6 +72,8 @@
         # Jobs still to be looked at, None if all were.
         self.review: Iterator[Job] | None = None
         self.reviewed_s = float('-inf')
+        # Time at which reservations were last dated.
+        self.dated_s = float('-inf')
 
     def run(self) -> None:
         """Place queued jobs that fit, best rank first."""
@@ -135,8 +143,13 @@
 
     def _serve_claims(self) -> None:
         core = self.core
+        due = core.now_s >= self.dated_s + REVIEW_S
+        if due:
+            self.dated_s = core.now_s
         for job_id, pending in list(core.claims.items()):
             job = core.jobs[job_id]
+            if due and pending.guessed:
+                date_again(core, job)
             if is_broken(job, pending):
                 core.return_claim(job)
             elif is_ready(pending) and not self._obstacle(job):
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,7 +1,7 @@
 """Guards the life of jobs inside the decision core."""
 
 from mangotrail._messages import MemberPlacement, Outcome, Placement
-from mangotrail._starting import RESERVE_AFTER_S
+from mangotrail._starting import RESERVE_AFTER_S, REVIEW_S
 from mangotrail._zones import RAMP_BURST
 from mangotrail.estimates import MIN_SAMPLES
 from mangotrail.events import (
@@ -318,6 +318,18 @@
         driver.submit('learned', spec('b', job_kind='short'))
         assert 'learned' in driver.placed
 
+    def test_date_follows_learned_run_times(self) -> None:
+        """A date guessed hours ahead lets small jobs backfill for ever."""
+        driver = self.build()
+        kind = spec('b').job_kind
+        for _ in range(MIN_SAMPLES):
+            driver.scheduler.learn_runtime(AccountId('b'), kind, 5)
+            driver.scheduler.learn_runtime(AccountId('b'), 'long', 600)
+        driver.tick(REVIEW_S)
+        driver.finish('b0')
+        driver.submit('long', spec('b', job_kind='long'))
+        assert 'long' not in driver.placed
+
 
 class TestRestore:
     """A new leader."""
