Let preemption claims go before reservations on the same capacity

Cause: work was stopped for an urgent job on accelerators that an older reservation covered as well.

Change: a reservation does not start while a job for which others were preempted claims the same accelerators or the slots it would use.

--- a/mangotrail/_preemption.py
+++ b/mangotrail/_preemption.py
@@ -163,3 +163,25 @@
         and (not spot.mask or spot.worker.free_connections >= len(spot.masks))
         for spot in pending.spots
     )
+
+
+def is_overtaken(job: Job, pending: Pending) -> bool:
+    """Tell whether preemption made way for others on what a job reserves.
+
+    The holders stopped for those others, who would otherwise wait for the
+    job that had reserved the same accelerators.
+    """
+    return pending.is_reservation and any(
+        not other.is_reservation and _compete(spot, other)
+        for spot in pending.spots
+        for owner, other in spot.worker.claims.items()
+        if owner != job.job
+    )
+
+
+def _compete(spot: Spot, other: Claim) -> bool:
+    if spot.mask & other.mask:
+        return True
+    worker = spot.worker
+    needed = len(spot.masks) + other.slots
+    return needed > worker.free_slots
--- a/mangotrail/_starting.py
+++ b/mangotrail/_starting.py
@@ -12,6 +12,7 @@
     claim,
     date_again,
     is_broken,
+    is_overtaken,
     is_ready,
     reclaim,
 )
@@ -152,7 +153,11 @@
                 date_again(core, job)
             if is_broken(job, pending):
                 core.return_claim(job)
-            elif is_ready(pending) and not self._obstacle(job):
+            elif (
+                is_ready(pending)
+                and not is_overtaken(job, pending)
+                and not self._obstacle(job)
+            ):
                 self.start(job, pending.zone, pending.spots)
             elif pending.is_reservation and not self._obstacle(job):
                 self._start_elsewhere(job)
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -330,6 +330,20 @@
         driver.submit('long', spec('b', job_kind='long'))
         assert 'long' not in driver.placed
 
+    def test_urgent_overtakes_reservation(self) -> None:
+        """An urgent job must get the accelerators it displaced work from."""
+        driver = Driver(
+            make_bundle([zone_spec('z', (1, 4))], [account('a'), account('b')])
+        )
+        driver.run('b0', spec('b', size=4))
+        driver.submit('gang', spec(size=4))
+        driver.tick(RESERVE_AFTER_S)
+        assert driver.scheduler.core.claims['gang'].is_reservation
+        driver.submit('urgent', spec('b', size=4, urgent=True))
+        driver.wait_for(Stop, 'b0', limit_s=4)
+        driver.fail('b0')
+        assert 'urgent' in driver.placed and 'gang' not in driver.placed
+
 
 class TestRestore:
     """A new leader."""
