Send the declared metrics of jobs, requests and attempts

Cause: 21 declared metrics were sent by no process, and the gateway sent none. Change: the leader counts jobs, waits, refusals, checkpoints and endpoints; the gateway counts requests, errors, attempts, failed renewals and kept answers; five metrics that nothing can send yet are no longer declared.

--- a/mangotrail/_attempt.py
+++ b/mangotrail/_attempt.py
@@ -19,6 +19,7 @@
 from mangotrail.answers import MAX_LOGGED_ANSWER_BYTES
 from mangotrail.endpoints import EndpointCallError
 from mangotrail.ids import WorkerId
+from mangotrail.metrics import ATTEMPTS_ADOPTED, ATTEMPTS_STARTED
 from mangotrail.renewal import HeldLease
 
 MAX_REASON_LENGTH = 256
@@ -109,10 +110,12 @@
         try:
             if self.order.adopt:
                 await self._adopt()
+                self.tools.metrics.count(ATTEMPTS_ADOPTED)
             elif self.tools.draining:
                 raise NotBegunError('gateway is shutting down')
             else:
                 await self.gang.begin()
+                self.tools.metrics.count(ATTEMPTS_STARTED)
         except NotBegunError as ended:
             await self.gang.end_unproved(ended.reason)
             return self._report(
--- a/mangotrail/_attempt_tools.py
+++ b/mangotrail/_attempt_tools.py
@@ -9,6 +9,7 @@
 from mangotrail.endpoints import EndpointClient
 from mangotrail.ids import ZoneId
 from mangotrail.link import ControlCalls
+from mangotrail.metrics import Metrics, NullMetrics
 from mangotrail.pacing import Pacer
 from mangotrail.platform import PlatformClient
 from mangotrail.renewal import Renewals
@@ -41,5 +42,6 @@
     max_answer_bytes: Callable[[], int]
     pacer_for: Callable[[ZoneId], Pacer | None]
     started_at_s: float
+    metrics: Metrics = field(default_factory=NullMetrics)
     pauses: Pauses = field(default_factory=Pauses)
     draining: bool = False
--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -7,6 +7,7 @@
 from loguru import logger
 
 from mangotrail._fleet import Fleet
+from mangotrail._job_metrics import JobMetrics
 from mangotrail._messages import (
     Accepted,
     AttemptReport,
@@ -97,6 +98,7 @@
         self.fleet = fleet
         self.clock = clock
         self.metrics = metrics
+        self.job_metrics = JobMetrics(metrics=metrics)
         self.wait_reasons: dict[JobId, str] = {}
         self.faulty_workers: dict[JobId, WorkerId] = {}
         self.orders = Orders(
@@ -196,6 +198,11 @@
             if record.state is not JobState.QUEUED
         )
         self.orders.supervise(dispatched)
+        self.job_metrics.count(
+            self.replica.state.unfinished_jobs(),
+            self.fleet.last_available,
+            now_s,
+        )
         if now_s - self.expired_s > EXPIRE_PERIOD_S:
             self.expired_s = now_s
             self._propose(ExpireRecords())
@@ -246,6 +253,7 @@
             self._feed_endpoints()
 
     def _follow_job(self, record: JobRecord, before: JobRecord | None) -> None:
+        self.job_metrics.follow(record, before)
         if before is None:
             self.feed(
                 JobSubmitted(job=record.job, job_spec=without_payload(record))
@@ -355,6 +363,7 @@
     def _checkpoint(self, decision: Checkpoint) -> None:
         record = self._current(decision.job, decision.attempt)
         if record is not None:
+            self.job_metrics.preempted(record)
             self.orders.stop(
                 record, 'checkpoint', checkpoint_s=decision.deadline_s
             )
@@ -392,6 +401,7 @@
         if key not in self.replica.state.job_keys:
             refusal = self.policy.refusal(spec)
             if refusal is not None:
+                self.job_metrics.refused(refusal.code)
                 raise refusal
         return await self.replica.propose(
             SubmitJob(job_spec=spec, origin=instance)
--- a/mangotrail/_server.py
+++ b/mangotrail/_server.py
@@ -1,8 +1,10 @@
 """HTTP server of the gateway, bounded in connections and in time."""
 
 import asyncio
+import time
 from collections.abc import Generator
 from contextlib import contextmanager
+from http import HTTPStatus
 from typing import Any
 
 import h11
@@ -15,6 +17,13 @@
 from mangotrail._messages import Failure
 from mangotrail._settings import Address, HttpSettings
 from mangotrail.errors import InvalidInputError, UnavailableError
+from mangotrail.metrics import (
+    REQUEST_ERRORS,
+    REQUEST_TIME,
+    REQUESTS,
+    Metrics,
+    NullMetrics,
+)
 
 KEEP_ALIVE_S = 30
 # Callers leave this part of the connections to operators, endpoints and
@@ -109,10 +118,18 @@
 
     :param app: the application that serves admitted requests.
     :param max_requests: bound on the requests in progress.
+    :param metrics: counts the requests of callers.
     """
 
-    def __init__(self, *, app: Application, max_requests: int) -> None:
+    def __init__(
+        self,
+        *,
+        app: Application,
+        max_requests: int,
+        metrics: Metrics | None = None,
+    ) -> None:
         self.app = app
+        self.metrics = metrics or NullMetrics()
         self.max_callers = max_requests - max_requests // RESERVED_DIVISOR
         self.callers = 0
         self.no_callers = asyncio.Event()
@@ -133,13 +150,26 @@
     async def _serve_caller(self, scope: Any, receive: Any, send: Any) -> None:
         self.callers += 1
         self.no_callers.clear()
+        started_s = time.monotonic()
+
+        async def observe(message: Any) -> None:
+            if message['type'] == 'http.response.start':
+                self._count(message['status'], started_s)
+            await send(message)
+
         try:
-            await self.app(scope, receive, send)
+            await self.app(scope, receive, observe)
         finally:
             self.callers -= 1
             if not self.callers:
                 self.no_callers.set()
 
+    def _count(self, status: int, started_s: float) -> None:
+        self.metrics.count(REQUESTS)
+        self.metrics.time(REQUEST_TIME, time.monotonic() - started_s)
+        if status >= HTTPStatus.BAD_REQUEST:
+            self.metrics.count(REQUEST_ERRORS, label=str(status))
+
 
 async def _send_refusal(send: Any) -> None:
     failure = UnavailableError(
--- a/mangotrail/gateway.py
+++ b/mangotrail/gateway.py
@@ -40,6 +40,7 @@
 from mangotrail.endpoints import EndpointClient, HeartbeatBook
 from mangotrail.errors import MangotrailError, SettingsError
 from mangotrail.link import ControlLink
+from mangotrail.metrics import ANSWER_BYTES, ATTEMPTS_HELD, open_metrics
 from mangotrail.observe import Observers
 from mangotrail.pacing import ByteCounts, Pacer, link_rate_bytes_s
 from mangotrail.platform import PlatformClient
@@ -82,6 +83,9 @@
         self.own = _own_peer(settings)
         # The leader sends orders again to a process that forgot them.
         self.boot = token_hex(8)
+        self.metrics = open_metrics(
+            settings.statsd, instance=settings.instance, process='gateway'
+        )
         self.stopping = asyncio.Event()
         self.link = ControlLink(
             address=settings.gateway_link, on_order=self.handle
@@ -96,7 +100,9 @@
         self.dispatcher = Dispatcher(tools=self._make_tools())
         self.observers = Observers(platform=self.platform, control=self.link)
         self.app = BoundedApp(
-            app=self._make_app(), max_requests=settings.http.max_connections
+            app=self._make_app(),
+            max_requests=settings.http.max_connections,
+            metrics=self.metrics,
         )
         self.server: GatewayServer = make_server(
             self.app, address=self.own.gateway, bounds=settings.http
@@ -202,6 +208,7 @@
                 clock=self.clock,
                 lease_s=timing.lease_ms / 1000,
                 renew_s=timing.renew_ms / 1000,
+                metrics=self.metrics,
             ),
             confirm_s=timing.confirm_ms / 1000,
             lease_s=timing.lease_ms / 1000,
@@ -209,6 +216,7 @@
             max_answer_bytes=self.status.max_answer_bytes,
             pacer_for=self.parts.pacer_for,
             started_at_s=self.clock.age_s(),
+            metrics=self.metrics,
         )
 
     def _make_app(self) -> Application:
@@ -285,6 +293,8 @@
             attempts=len(self.dispatcher.attempts),
             bundle_version=in_force.version if in_force else 0,
         )
+        self.metrics.put(ATTEMPTS_HELD, len(self.dispatcher.attempts))
+        self.metrics.put(ANSWER_BYTES, self.parts.answers.used_bytes)
         asked_at_s = self.clock.age_s()
         reply = await self.link.call(hello, timeout_s=HELLO_S)
         if not isinstance(reply, Failure):
--- a/mangotrail/metrics.py
+++ b/mangotrail/metrics.py
@@ -36,6 +36,7 @@
     SERVICE = 'service'
     OUTCOME = 'outcome'
     CODE = 'error code'
+    STATUS = 'HTTP status'
     PURPOSE = 'purpose'
 
 
@@ -68,9 +69,6 @@
 
 LEADER = Gauge('leader', Unit.COUNT, '1 on the leader, otherwise 0.')
 VOTERS = Gauge('voters', Unit.COUNT, 'Voters of the agreement group.')
-LEADER_CHANGES = Counter(
-    'leader_changes', Unit.COUNT, 'Times this instance saw a new leader.'
-)
 ENTRIES = Counter('entries', Unit.COUNT, 'Log entries applied.')
 SNAPSHOTS = Counter('snapshots', Unit.COUNT, 'Snapshots written.')
 SYNC_TIME = Timing('sync_time', Unit.MILLISECONDS, 'Time to sync the journal.')
@@ -80,12 +78,6 @@
 DECISION_TIME = Timing(
     'decision_time', Unit.MILLISECONDS, 'Time of one scheduler decision.'
 )
-PEER_BYTES = Counter(
-    'peer_bytes',
-    Unit.BYTES,
-    'Bytes sent to instances of other regions, by purpose.',
-    Label.PURPOSE,
-)
 LINK_BYTES = Counter(
     'link_bytes',
     Unit.BYTES,
@@ -124,26 +116,9 @@
 RECLAIMS = Counter(
     'reclaims',
     Unit.COUNT,
-    'Jobs stopped because another account reclaimed its guarantee.',
+    'Jobs asked for a checkpoint because they must give way, by account.',
     Label.ACCOUNT,
 )
-ACCELERATORS_FREE = Gauge(
-    'accelerators_free',
-    Unit.ACCELERATORS,
-    'Accelerators of healthy workers that run nothing, by zone.',
-    Label.ZONE,
-)
-ACCELERATORS_SUSPENDED = Gauge(
-    'accelerators_suspended',
-    Unit.ACCELERATORS,
-    'Guaranteed accelerators that zones now out would hold, by account.',
-    Label.ACCOUNT,
-)
-FRAGMENTATION = Gauge(
-    'fragmentation',
-    Unit.RATIO,
-    'Share of free accelerators that no waiting gang can use.',
-)
 WORKERS_QUARANTINED = Gauge(
     'workers_quarantined', Unit.COUNT, 'Workers that receive probes only.'
 )
@@ -158,7 +133,7 @@
     'request_errors',
     Unit.COUNT,
     'HTTP requests answered with an error.',
-    Label.CODE,
+    Label.STATUS,
 )
 REQUEST_TIME = Timing(
     'request_time', Unit.MILLISECONDS, 'Time from request to response.'
--- a/mangotrail/renewal.py
+++ b/mangotrail/renewal.py
@@ -8,6 +8,7 @@
 from mangotrail.clock import Clock
 from mangotrail.errors import PlatformError
 from mangotrail.ids import WorkerId
+from mangotrail.metrics import RENEWALS_FAILED, Metrics, NullMetrics
 from mangotrail.platform import LeaseResult, PlatformClient
 
 # A failed renewal is repeated well before the lease ends.
@@ -41,6 +42,7 @@
     :param clock: source of ages.
     :param lease_s: life of a lease after a renewal in seconds.
     :param renew_s: period of the renewals in seconds.
+    :param metrics: counts leases that could not be renewed.
     """
 
     def __init__(
@@ -50,7 +52,9 @@
         clock: Clock,
         lease_s: float,
         renew_s: float,
+        metrics: Metrics | None = None,
     ) -> None:
+        self.metrics = metrics or NullMetrics()
         self.platform = platform
         self.clock = clock
         self.lease_s = lease_s
@@ -130,10 +134,12 @@
         elif result.ok:
             held.renewed_at_s = asked_at_s
         else:
+            self.metrics.count(RENEWALS_FAILED)
             held.lose(result.reason or 'lease ended', result.worker)
 
     def _lose_expired(self, leases: tuple[HeldLease, ...]) -> None:
         now_s = self.clock.age_s()
         for held in leases:
             if now_s - held.renewed_at_s >= self.lease_s:
+                self.metrics.count(RENEWALS_FAILED)
                 held.lose('lease could not be renewed')
