--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -356,7 +356,8 @@
     def test_leaving(self, deployment: LocalDeployment) -> None:
         """Requests after the departure must go to other endpoints."""
         zone = deployment.bundle.zones[1].zone
-        url = deployment.start_endpoints(zone, count=4, name='leaving')
+        # Equal endpoints are chosen by name, so these would be the first.
+        url = deployment.start_endpoints(zone, count=4, name='departing')
         deployment.wait_endpoints(10)
         operator = deployment.operator()
         service = deployment.credentials.services
@@ -365,7 +366,7 @@
             token=next(iter(service.values())),
         )
         for number in range(4):
-            endpoint = EndpointId(f'leaving-{number}')
+            endpoint = EndpointId(f'departing-{number}')
             client.leave_endpoint(
                 LeaveEndpoint(endpoint=endpoint, generation=1)
             )
@@ -383,8 +384,8 @@
         history = get_json(f'{url}/records')['history']
         late = [run for run in history if run['wall_s'] > left_s + TARGET_S]
         assert not late
-        deployment.terminate('leaving')
-        deployment.endpoint_urls.pop('leaving')
+        deployment.terminate('departing')
+        deployment.endpoint_urls.pop('departing')
 
 
 class TestShutdown:
