Prove "not run" with a request that waits in a frozen process's socket

Cause: tools/prove.py 5 passed without its mechanism: a leader that was frozen for long steps down before it reads the requests in its socket. Change: a second test freezes the control process of the instance that takes the request; its gateway has handed the request over and must not claim that it has not run.

--- a/tests/test_promises.py
+++ b/tests/test_promises.py
@@ -99,11 +99,14 @@
 
 
 def submit_again(
-    deployment: LocalDeployment, request: str, **options: object
+    deployment: LocalDeployment,
+    request: str,
+    instance: str = '',
+    **options: object,
 ) -> None:
     """Submit a request until an instance takes it, as a caller would."""
     wait_for(
-        lambda: bool(submit(deployment, request, **options).job),
+        lambda: bool(submit(deployment, request, instance, **options).job),
         what=f'acceptance of {request}',
         timeout_s=ANSWER_S,
     )
@@ -288,22 +291,48 @@
 
     def test_no_leader(self, deployment: LocalDeployment) -> None:
         """A refusal without a majority must not be followed by a run."""
-        # A frozen leader finds the requests in its socket when it wakes up.
         leader = deployment.leader()
         first = next(name for name in deployment.instances if name != leader)
         others = [name for name in deployment.instances if name != first]
-        for instance in others:
+        refused = self.submit_frozen(deployment, 'majority', first, others)
+        assert refused
+        self.check_claims(deployment, refused)
+
+    def test_frozen_control(self, deployment: LocalDeployment) -> None:
+        """A request that waits in a socket must not be called "not run"."""
+        first = deployment.instances[0]
+        refused = self.submit_frozen(deployment, 'socket', first, [first])
+        assert len(refused) > 1
+        self.check_claims(deployment, refused)
+
+    def submit_frozen(
+        self,
+        deployment: LocalDeployment,
+        prefix: str,
+        first: str,
+        frozen: list[str],
+    ) -> list[tuple[str, bool]]:
+        """Submit while control processes are frozen.
+
+        :return: request and whether the refusal claims that it has not run.
+        """
+        for instance in frozen:
             deployment.signal(f'control-{instance}', signal.SIGSTOP)
         refused = []
         for number in range(3):
             try:
-                submit(deployment, f'refused-{number}', first)
+                submit(deployment, f'{prefix}-{number}', first)
             except MangotrailError as error:
-                refused.append((f'refused-{number}', error.not_run))
-        for instance in others:
+                refused.append((f'{prefix}-{number}', error.not_run))
+        for instance in frozen:
             deployment.signal(f'control-{instance}', signal.SIGCONT)
-        assert refused
-        submit_again(deployment, 'after-refusal')
+        return refused
+
+    def check_claims(
+        self, deployment: LocalDeployment, refused: list[tuple[str, bool]]
+    ) -> None:
+        """Check that no refused request runs or was accepted."""
+        submit_again(deployment, 'after-refusal', deployment.instances[0])
         wait_end(deployment, 'after-refusal')
         runs = deployment.endpoint_runs()
         account = account_of(deployment)
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -117,14 +117,9 @@
     ),
     Case(
         5,
-        'tests/test_promises.py::TestRefusals::test_no_leader',
+        'tests/test_promises.py::TestRefusals::test_frozen_control',
         'telling "not run" from "handed over"',
         (
-            Change(
-                'mangotrail/control.py',
-                'if handed_over:',
-                'if handed_over is None:',
-            ),
             Change(
                 'mangotrail/link.py',
                 "raise UndecidedError(\n                'The control process has "
