Refuse duplicate keys in HTTP bodies

Cause: settings and bundle files refused a key that stands twice in an object, the gateway took the last one without a word. Change: both use the same strict parser, which also refuses lone surrogates.

--- a/mangotrail/_http_common.py
+++ b/mangotrail/_http_common.py
@@ -14,6 +14,7 @@
 
 from mangotrail._messages import Failure
 from mangotrail._settings import Credentials, HttpSettings
+from mangotrail.documents import parse
 from mangotrail.errors import (
     ForbiddenError,
     InvalidInputError,
@@ -148,16 +149,7 @@
 
     :raises InvalidInputError: if the body is none.
     """
-    try:
-        document = msgspec.json.decode(body)
-    except (msgspec.DecodeError, RecursionError) as error:
-        raise InvalidInputError(
-            f'The body is no JSON: {error}',
-            field='body',
-            value=body[:80].decode(errors='replace'),
-            allowed='one JSON object in UTF-8',
-            remedy='Correct the body.',
-        ) from error
+    document = parse(body, error=InvalidInputError, field='body')
     if not isinstance(document, dict):
         raise InvalidInputError(
             'The body is no JSON object.',
--- a/mangotrail/documents.py
+++ b/mangotrail/documents.py
@@ -85,7 +85,7 @@
     :raises InvalidInputError: of the given type.
     """
     check_size(content, error=error)
-    raw = _parse(content, error=error)
+    raw = parse(content, error=error)
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as failure:
@@ -150,17 +150,27 @@
         )
 
 
-def _parse(content: bytes, *, error: Failure) -> Any:
+def parse(content: bytes, *, error: Failure, field: str = '$') -> Any:
+    """Parse JSON strictly: no duplicate keys, no NaN.
+
+    :param content: the JSON text in UTF-8.
+    :param error: type of the errors raised.
+    :param field: name of the document in errors.
+    :raises InvalidInputError: of the given type.
+    """
     try:
-        return json.loads(
+        document = json.loads(
             content.decode(),
             object_pairs_hook=_object_without_duplicates,
             parse_constant=_refuse_constant,
         )
+        # An escaped lone surrogate is no text that could be sent on.
+        json.dumps(document, ensure_ascii=False).encode()
+        return document
     except (ValueError, RecursionError) as failure:
         raise error(
             f'The document is not valid JSON: {failure}.',
-            field='$',
+            field=field,
             value=str(failure),
             allowed='one JSON object in UTF-8, each key once',
             remedy='Correct the document at the named place.',
--- a/tests/test_http_callers.py
+++ b/tests/test_http_callers.py
@@ -69,6 +69,7 @@
             b'[' * 100_000,
             rb'{"request": "\ud800"}',
             b'{"created_at_s": NaN}',
+            b'{"request": "r1", "request": "r2"}',
             b'{"created_at_s": %s}' % (b'9' * 5000),
         ],
     )
