--- a/mangotrail/_http_common.py
+++ b/mangotrail/_http_common.py
@@ -14,7 +14,7 @@
 
 from mangotrail._messages import Failure
 from mangotrail._settings import Credentials, HttpSettings
-from mangotrail.documents import parse
+from mangotrail.documents import parse_json
 from mangotrail.errors import (
     ForbiddenError,
     InvalidInputError,
@@ -149,7 +149,7 @@
 
     :raises InvalidInputError: if the body is none.
     """
-    document = parse(body, error=InvalidInputError, field='body')
+    document = parse_json(body, error=InvalidInputError, field='body')
     if not isinstance(document, dict):
         raise InvalidInputError(
             'The body is no JSON object.',
--- a/mangotrail/documents.py
+++ b/mangotrail/documents.py
@@ -85,7 +85,7 @@
     :raises InvalidInputError: of the given type.
     """
     check_size(content, error=error)
-    raw = parse(content, error=error)
+    raw = parse_json(content, error=error)
     try:
         return msgspec.convert(raw, kind)
     except msgspec.ValidationError as failure:
@@ -150,7 +150,7 @@
         )
 
 
-def parse(content: bytes, *, error: Failure, field: str = '$') -> Any:
+def parse_json(content: bytes, *, error: Failure, field: str = '$') -> Any:
     """Parse JSON strictly: no duplicate keys, no NaN.
 
     :param content: the JSON text in UTF-8.
--- a/mangotrail/state.py
+++ b/mangotrail/state.py
@@ -7,6 +7,7 @@
 import msgspec
 from msgspec.structs import replace
 
+from mangotrail import _bundle_rules, _endpoint_rules
 from mangotrail._bundle import Bundle
 from mangotrail._job_rules import (
     adopt,
@@ -49,14 +50,9 @@
     ZoneRecord,
     ZoneState,
 )
-from mangotrail.bundle import bundle_digest
 from mangotrail.errors import (
-    BundleConflictError,
-    BundleStateError,
-    ForbiddenError,
     MangotrailError,
     RequestConflictError,
-    StaleGenerationError,
     UnavailableError,
     UnknownObjectError,
 )
@@ -66,7 +62,6 @@
     JobId,
     OperationId,
     RequestId,
-    ServiceId,
     WorkerId,
     ZoneId,
 )
@@ -74,8 +69,6 @@
 CommandResult: TypeAlias = ReplyBody
 JobKey: TypeAlias = tuple[AccountId, RequestId]
 
-# Older bundle versions are dropped: at 1,400 changes a day they would not fit.
-KEPT_BUNDLES = 32
 # Callers' clocks may run ahead by this much, so records are kept longer by it.
 CLOCK_TOLERANCE_S = 600.0
 
@@ -186,7 +179,7 @@
 
     def newest_version(self) -> int:
         """Return the newest bundle version, 0 if there is none."""
-        return max(self.bundles, default=0)
+        return _bundle_rules.newest_version(self.bundles)
 
     def _put_in_force(self, record: BundleRecord) -> None:
         self.bundle = msgspec.json.decode(record.encoded, type=Bundle)
@@ -194,50 +187,28 @@
         self.bundle_digest = record.digest
 
     def _write_bundle(self, body: WriteBundle, time_s: float) -> ReplyBody:
-        newest = self.newest_version()
-        digest = self.bundles[newest].digest if newest else ''
-        if (body.parent_version, body.parent_digest) != (newest, digest):
-            winner = self.bundles.get(newest)
-            raise BundleConflictError(
-                'the bundle was not written on top of the newest version',
-                field='parent_version',
-                value=body.parent_version,
-                allowed=f'version {newest} with digest {digest or "(none)"}',
-                remedy='read the newest bundle'
-                f' (by {winner.operator if winner else "nobody"})'
-                ' and write the change on top of it',
-            )
-        record = BundleRecord(
-            version=newest + 1,
-            digest=bundle_digest(body.bundle),
-            parent_version=newest,
-            parent_digest=digest,
-            state=BundleState.WRITTEN,
-            operator=body.operator,
-            written_s=time_s,
-            encoded=msgspec.json.encode(body.bundle),
-        )
+        record = _bundle_rules.written(self.bundles, body, time_s)
         self.bundles[record.version] = record
-        self._drop_old_bundles()
+        for version in _bundle_rules.dropped_versions(
+            self.bundles, self.bundle_version
+        ):
+            self.bundles.pop(version)
         return Accepted(version=record.version, digest=record.digest)
 
     def _sign_bundle(self, body: SignBundle, time_s: float) -> ReplyBody:
-        record = self._bundle_in(body.version, body.digest, BundleState.WRITTEN)
+        record = _bundle_rules.find(
+            self.bundles, body.version, body.digest, BundleState.WRITTEN
+        )
         self.bundles[record.version] = replace(
             record, state=BundleState.SIGNED, signer=body.operator
         )
         return Accepted(version=record.version, digest=record.digest)
 
     def _roll_out_bundle(self, body: RollOutBundle, time_s: float) -> ReplyBody:
-        record = self._bundle_in(body.version, body.digest, BundleState.SIGNED)
-        if record.version < self.bundle_version:
-            raise BundleStateError(
-                'a newer bundle is in force and is never reverted',
-                field='version',
-                value=body.version,
-                allowed=f'a version above {self.bundle_version}',
-                remedy='write the content again as a new version',
-            )
+        record = _bundle_rules.find(
+            self.bundles, body.version, body.digest, BundleState.SIGNED
+        )
+        _bundle_rules.check_newer(record, self.bundle_version)
         previous = self.bundles.get(self.bundle_version)
         if previous is not None:
             self.bundles[previous.version] = replace(
@@ -250,42 +221,6 @@
         self._put_in_force(in_force)
         return Accepted(version=record.version, digest=record.digest)
 
-    def _bundle_in(
-        self, version: int, digest: str, needed: BundleState
-    ) -> BundleRecord:
-        record = self.bundles.get(version)
-        if record is None:
-            raise UnknownObjectError(
-                'there is no such bundle version',
-                field='version',
-                value=version,
-                allowed=f'1 to {self.newest_version()}',
-                remedy='list the bundles',
-            )
-        if record.digest != digest:
-            raise BundleConflictError(
-                'the digest belongs to another bundle',
-                field='digest',
-                value=digest,
-                allowed=record.digest,
-                remedy='read this version again and check its content',
-            )
-        if record.state is not needed:
-            raise BundleStateError(
-                f'the bundle version is {record.state.value}',
-                field='version',
-                value=version,
-                allowed=f'a version that is {needed.value}',
-                remedy='write, sign and roll out in this order',
-            )
-        return record
-
-    def _drop_old_bundles(self) -> None:
-        excess = len(self.bundles) - KEPT_BUNDLES
-        for version in sorted(self.bundles)[: max(excess, 0)]:
-            if version != self.bundle_version:
-                self.bundles.pop(version)
-
     def _set_zone(self, body: SetZone, time_s: float) -> ReplyBody:
         known = {spec.zone for spec in self._bundle_in_force().zones}
         if body.zone not in known:
@@ -314,45 +249,16 @@
         return self.bundle
 
     def _announce(self, body: AnnounceEndpoint, time_s: float) -> ReplyBody:
-        services = {spec.service for spec in self._bundle_in_force().services}
-        if body.service not in services:
-            raise UnknownObjectError(
-                'the bundle in force has no such service',
-                field='service',
-                value=body.service,
-                allowed=', '.join(sorted(services)),
-                remedy='add the service to the bundle',
-            )
         known = self.endpoints.get(body.endpoint)
-        if known is not None:
-            _check_service(known, body.service)
-            _check_generation(known, body.generation)
-            if known.generation == body.generation:
-                return Accepted(version=known.generation)
-        self.endpoints[body.endpoint] = EndpointRecord(
-            endpoint=body.endpoint,
-            generation=body.generation,
-            service=body.service,
-            zone=body.zone,
-            url=body.url,
-            worker=body.worker,
-            changed_s=time_s,
+        self.endpoints[body.endpoint] = _endpoint_rules.announce(
+            known, body, self._bundle_in_force(), time_s
         )
         return Accepted(version=body.generation)
 
     def _leave(self, body: LeaveEndpoint, time_s: float) -> ReplyBody:
         known = self.endpoints.get(body.endpoint)
-        if known is None:
-            raise UnknownObjectError(
-                'there is no such endpoint',
-                field='endpoint',
-                value=body.endpoint,
-                remedy='list the endpoints',
-            )
-        if body.generation < known.generation:
-            _check_generation(known, body.generation)
-        self.endpoints[body.endpoint] = replace(
-            known, generation=body.generation, left=True, changed_s=time_s
+        self.endpoints[body.endpoint] = _endpoint_rules.leave(
+            known, body, time_s
         )
         return Accepted(version=body.generation)
 
@@ -465,32 +371,6 @@
     return record.job_spec.account, record.job_spec.request
 
 
-def _check_service(known: EndpointRecord, service: ServiceId) -> None:
-    """Reject an announcement that takes the id of another service."""
-    if known.service != service and not known.left:
-        raise ForbiddenError(
-            'the endpoint id belongs to another service',
-            field='endpoint',
-            value=known.endpoint,
-            remedy='announce under an id of its own',
-        )
-
-
-def _check_generation(known: EndpointRecord, generation: int) -> None:
-    """Reject an announcement that the endpoint has itself superseded."""
-    if generation > known.generation:
-        return
-    if generation == known.generation and not known.left:
-        return
-    raise StaleGenerationError(
-        'this generation of the endpoint has left or was replaced',
-        field='generation',
-        value=generation,
-        allowed=f'above {known.generation}',
-        remedy='announce with a higher generation after each start',
-    )
-
-
 _Handler: TypeAlias = Callable[[State, Any, float], ReplyBody]
 
 _HANDLERS: Mapping[type, _Handler] = {
--- a/tools/prove.py
+++ b/tools/prove.py
@@ -177,7 +177,7 @@
         'compare and set on the parent version',
         (
             Change(
-                'mangotrail/state.py',
+                'mangotrail/_bundle_rules.py',
                 'if (body.parent_version, body.parent_digest) != (newest, digest):',
                 'if newest is None:',
             ),
@@ -189,8 +189,8 @@
         'refusal of older versions',
         (
             Change(
-                'mangotrail/state.py',
-                'if record.version < self.bundle_version:',
+                'mangotrail/_bundle_rules.py',
+                'if record.version < in_force:',
                 'if record.version is None:',
             ),
         ),
