--- a/mangotrail/_replica.py
+++ b/mangotrail/_replica.py
@@ -5,13 +5,12 @@
 from collections import deque
 from collections.abc import Callable, Mapping, Sequence
 from contextlib import suppress
-from pathlib import Path
 from typing import Any, TypeAlias
 
 import msgspec
 from loguru import logger
 
-from mangotrail._effects import Effects, Role, Snapshot, Timing
+from mangotrail._effects import Effects, Role, Snapshot
 from mangotrail._job_rules import view_of
 from mangotrail._messages import (
     Command,
@@ -40,17 +39,11 @@
 )
 from mangotrail.ids import InstanceId, MemberId
 from mangotrail.journal import (
-    DisklessJournal,
-    FileJournal,
     Journal,
-    fresh_identity,
-    open_identity,
 )
 from mangotrail.membership import (
     GroupView,
     InstancePlace,
-    check_places,
-    founding_config,
     next_config,
     transfer_target,
 )
@@ -83,6 +76,7 @@
 
     :param agreement: the protocol, loaded from the journal.
     :param state: the state up to the snapshot of the journal.
+    :param places: zone and disk of each instance.
     """
 
     def __init__(
@@ -92,6 +86,7 @@
         agreement: Agreement,
         journal: Journal,
         state: State,
+        places: Mapping[InstanceId, InstancePlace],
         clock: Clock,
         metrics: Metrics,
     ) -> None:
@@ -102,7 +97,7 @@
         self.clock = clock
         self.metrics = metrics
         self.member = agreement.member
-        self.places = places_of(settings)
+        self.places = places
         self.send: Send = _send_nowhere
         self.on_applied: Applied = _ignore_applied
         self.inbox: deque[PeerMessage] = deque()
@@ -402,83 +397,6 @@
 _NO_JOB: Any = ''
 
 
-def places_of(settings: Settings) -> Mapping[InstanceId, InstancePlace]:
-    """Return where the instances of a deployment are."""
-    return {
-        peer.instance: InstancePlace(
-            instance=peer.instance, zone=peer.zone, has_disk=peer.has_disk
-        )
-        for peer in settings.peers
-    }
-
-
-def open_replica(
-    *, settings: Settings, clock: Clock, metrics: Metrics
-) -> Replica:
-    """Open the journal of this instance and load agreement and state.
-
-    :raises SettingsError: if the deployment has too few disks, or the data
-        folder belongs to another instance.
-    :raises StorageError: if the journal is damaged or cannot be used.
-    """
-    places = places_of(settings)
-    check_places(places.values())
-    journal: Journal
-    if settings.data_folder is None:
-        journal = DisklessJournal()
-        identity = fresh_identity(
-            deployment=settings.deployment, instance=settings.instance
-        )
-    else:
-        folder = Path(settings.data_folder)
-        identity = open_identity(
-            folder,
-            deployment=settings.deployment,
-            instance=settings.instance,
-        )
-        journal = FileJournal(folder)
-    recovered = journal.load()
-    if recovered.cut_bytes:
-        logger.warning('Cut a torn tail of {} bytes', recovered.cut_bytes)
-    state = State()
-    snapshot = recovered.snapshot
-    if snapshot is not None:
-        state.restore(snapshot.body)
-    founding = founding_config(places.values())
-    agreement = Agreement(
-        member=identity.member,
-        instance=settings.instance,
-        log=recovered.entries,
-        hard_state=recovered.hard_state,
-        config=founding
-        if identity.founding
-        else GroupConfig(voters=(), learners=()),
-        seed=time.time_ns() ^ hash(identity.member),
-        snapshot=snapshot.meta if snapshot else None,
-        timing=timing_of(settings),
-        can_vote=settings.data_folder is not None,
-    )
-    return Replica(
-        settings=settings,
-        agreement=agreement,
-        journal=journal,
-        state=state,
-        clock=clock,
-        metrics=metrics,
-    )
-
-
-def timing_of(settings: Settings) -> Timing:
-    """Return the periods of the agreement in seconds."""
-    timing = settings.timing
-    return Timing(
-        heartbeat_s=timing.heartbeat_ms / 1000,
-        election_min_s=timing.election_min_ms / 1000,
-        election_max_s=timing.election_max_ms / 1000,
-        authority_s=timing.authority_ms / 1000,
-    )
-
-
 def _names(config: GroupConfig) -> Sequence[MemberId]:
     return [voter.member for voter in config.voters]
 
--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -42,7 +42,8 @@
     WaitCall,
 )
 from mangotrail._peer_link import Frame, FrameKind, PeerLink, tcp_url
-from mangotrail._replica import Replica, open_replica
+from mangotrail._replica import Replica
+from mangotrail._replica_setup import open_replica
 from mangotrail._settings import Credentials, Settings
 from mangotrail._usage_delta import UsageDelta
 from mangotrail.clock import Clock, SystemClock
