Log the course of jobs and attempts with request, account and endpoint

Cause: the context of log lines was provided, but nothing used it. Change: the leader logs each change of a job, the gateway the end of each attempt, with request, account and endpoint.

--- a/mangotrail/_attempt.py
+++ b/mangotrail/_attempt.py
@@ -19,6 +19,7 @@
 from mangotrail.answers import MAX_LOGGED_ANSWER_BYTES
 from mangotrail.endpoints import EndpointCallError
 from mangotrail.ids import WorkerId
+from mangotrail.logs import log_context
 from mangotrail.metrics import ATTEMPTS_ADOPTED, ATTEMPTS_STARTED
 from mangotrail.renewal import HeldLease
 
@@ -56,6 +57,23 @@
 
     async def run(self) -> AttemptReport | None:
         """Run the attempt and return its last report, None if released."""
+        spec = self.order.job_spec
+        with log_context(
+            request=spec.request,
+            account=spec.account,
+            endpoint=self.order.placement.endpoint,
+        ):
+            report = await self._run()
+            ended = 'released' if report is None else report.status.value
+            logger.info(
+                'attempt {} of {} ended: {}',
+                self.order.attempt,
+                self.order.job,
+                ended,
+            )
+            return report
+
+    async def _run(self) -> AttemptReport | None:
         work = asyncio.create_task(self._work())
         try:
             report = await self._supervise(work)
--- a/mangotrail/_leader.py
+++ b/mangotrail/_leader.py
@@ -68,6 +68,7 @@
 )
 from mangotrail.guarantees import check_guarantees
 from mangotrail.ids import InstanceId, JobId, WorkerId
+from mangotrail.logs import log_context
 from mangotrail.metrics import DECISION_TIME, WORKERS_QUARANTINED, Metrics
 from mangotrail.scheduler import Scheduler
 
@@ -254,6 +255,10 @@
 
     def _follow_job(self, record: JobRecord, before: JobRecord | None) -> None:
         self.job_metrics.follow(record, before)
+        if before is None or record.state is not before.state:
+            spec = record.job_spec
+            with log_context(request=spec.request, account=spec.account):
+                logger.info('job {} is {}', record.job, record.state.value)
         if before is None:
             self.feed(
                 JobSubmitted(job=record.job, job_spec=without_payload(record))
