Let the lease of a silent worker end; tests of jobs made of steps

Cause: a session without an answer kept sending renewals, each of which granted a later lease, so that the lease of a worker that was gone never ended for the leader and its tasks never started again.

Change: after a missed renewal the worker is asked without a lease until it answers. Waiting for a rack ends at exactly half idle. Tests on virtual time: state, planning, clock bounds, and 25 seeds of leaders that follow each other while answers are lost, orders are carried out late and workers crash, return or are cut off.

--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -317,7 +317,7 @@
         for slot in slots:
             free += max(slot.accelerators, 0)
             whole += slot.worker.capacity.accelerators
-        return free > whole * IDLE_SHARE
+        return free >= whole * IDLE_SHARE
 
     def rack_groups(self, unit: Unit) -> list[list[Slot]]:
         """Return sets of workers to try, in the order of preference."""
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -134,6 +134,7 @@
         )
         self.runs: dict[TaskKey, HeldRun] = {}
         self.is_held = False
+        self.is_missing = False
         self.answered_s = 0.0
         self.rests_until_s = 0.0
         self.acknowledged = 0
@@ -200,7 +201,9 @@
     async def _renew(self) -> None:
         now_s = self.owner.clock.age_s()
         deadline_ms = None
-        if self.clock.is_known:
+        # A renewal without an answer may be carried out later, so a silent
+        # worker is only asked what it runs until it answers again.
+        if self.clock.is_known and not self.is_missing:
             deadline_ms = self.clock.grant(now_s, self.owner.timing.lease_ms)
         wait_ms = RENEWAL_WAIT_MS if self.is_held and not self.hurry else 0
         if deadline_ms is None:
@@ -221,11 +224,13 @@
         elif not listing.is_same_life:
             await self._finish()
         else:
+            self.is_missing = False
             self.clock.note(listing.clock_ms, now_s, received_s)
             self.answered_s = received_s
             await self._take(listing, now_s)
 
     async def _miss(self, now_s: float) -> None:
+        self.is_missing = True
         if self.clock.is_over(now_s) and self.runs:
             logger.warning(
                 'Worker {} is silent and its lease is over: {} runs lost',
--- /dev/null
+++ b/tests/test_graph_life_cycle.py
@@ -0,0 +1,278 @@
+"""Guards against two runs of a task at once, lost jobs and overfull workers.
+
+Leaders follow each other while answers are lost, orders are carried out
+seconds late, and workers crash, return under a new life or are cut off.
+"""
+
+import asyncio
+from collections import defaultdict
+from random import Random
+
+import pytest
+
+from mangotrail._graphs import (
+    CancelGraph,
+    EndKind,
+    Heartbeat,
+    JobPhase,
+    RegisterWorker,
+    StepSpec,
+    SubmitGraph,
+    TaskKey,
+)
+from mangotrail.graphs.leader import GraphLeader, WallClock
+from mangotrail.graphs.planning import URGENT as URGENT_PRIORITY
+from mangotrail.graphs.records import StepState
+from mangotrail.ids import JobId
+from tests.graph_fakes import (
+    NORMAL,
+    SETTINGS,
+    URGENT,
+    FakePorts,
+    FakeReplica,
+    FakeWorker,
+    apply,
+    filled_state,
+    graph_spec,
+    step_spec,
+    worker_spec,
+)
+from tests.virtual_time import VirtualClock, VirtualLoop, run_virtual
+
+WORKERS = 8
+
+
+class Cluster:
+    """A leader, its successors and workers that fail.
+
+    :param faults: share of the orders without an answer.
+    """
+
+    def __init__(self, *, seed: int, faults: float) -> None:
+        self.loop = VirtualLoop()
+        self.clock = VirtualClock(self.loop)
+        self.random = Random(seed)
+        self.ports = FakePorts(
+            clock=self.clock, random=self.random, faults=faults
+        )
+        self.ports.add(worker_spec(number) for number in range(WORKERS))
+        self.state = filled_state()
+        for worker in self.ports.all:
+            apply(self.state, RegisterWorker(worker=worker.spec))
+        self.replica = FakeReplica(
+            state=self.state, clock=self.clock, random=self.random
+        )
+        self.broken: list[str] = []
+        self.leader: GraphLeader | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    def elect(self) -> None:
+        """Let a leader of the next term take over; the old one freezes."""
+        self.replica.current_term += 1
+        if self.task is not None:
+            self.task.cancel()
+        self.leader = GraphLeader(
+            replica=self.replica.at_term(self.replica.current_term),
+            ports=self.ports,
+            settings=SETTINGS,
+            clock=self.clock,
+            wall=WallClock(self.clock),
+        )
+        self.task = asyncio.create_task(self.leader.run())
+
+    async def watch(self) -> None:
+        """Look for broken promises all the time."""
+        while True:
+            await asyncio.sleep(0.01)
+            holders = defaultdict(list)
+            for worker in self.ports.all:
+                if worker.is_alive:
+                    for task in worker.runs:
+                        holders[task].append(worker.spec.worker)
+                    self._check_capacity(worker)
+            for task, workers in holders.items():
+                if len(workers) > 1:
+                    self.broken.append(f'{task} runs on {workers}')
+
+    def _check_capacity(self, worker: FakeWorker) -> None:
+        used = sum(
+            self.step_of(task).spec.need.accelerators for task in worker.runs
+        )
+        if used > worker.spec.capacity.accelerators:
+            self.broken.append(f'{worker.spec.worker} holds {used}')
+
+    def step_of(self, task: TaskKey) -> StepState:
+        """Return the step of a task."""
+        return self.state.jobs[task.job].step(task)
+
+    def submit(self, number: int) -> None:
+        """Hand a random job in."""
+        urgent = self.random.random() < 0.4
+        gang = urgent or self.random.random() < 0.5
+        steps = [
+            step_spec(
+                self.random.randint(1, 6),
+                self.random.choice((1, 2, 4, 8)),
+                gang=gang,
+                same_rack=gang and self.random.random() < 0.5,
+            )
+        ]
+        if self.random.random() < 0.3:
+            steps.append(step_spec(2, 1, after=(0,)))
+        graph = graph_spec(
+            f'job-{number}', *steps, queue=URGENT if urgent else NORMAL
+        )
+        apply(
+            self.state,
+            SubmitGraph(graph=graph),
+            time_ms=round(self.clock.wall_s() * 1000),
+        )
+        if self.leader is not None:
+            self.leader.replan()
+
+    async def disturb(self) -> None:
+        """Do one random harm."""
+        kind = self.random.choice(('elect', 'crash', 'cut', 'cancel', 'calm'))
+        worker = self.random.choice(list(self.ports.at.values()))
+        if kind == 'elect':
+            self.elect()
+        elif kind == 'crash' and worker.is_alive:
+            worker.crash()
+            number = int(worker.spec.worker.removeprefix('w'))
+            born_ms = worker.spec.born_ms + 1
+            self.ports.add([worker_spec(number, born_ms=born_ms)])
+            self.loop.call_later(1.0, self.announce, number, born_ms)
+        elif kind == 'cut':
+            self.ports.cut.add(worker.spec.address)
+            span_s = self.random.uniform(0.5, 14)
+            self.loop.call_later(
+                span_s, self.ports.cut.discard, worker.spec.address
+            )
+        elif kind == 'cancel' and self.state.jobs:
+            job = self.random.choice(list(self.state.jobs))
+            apply(self.state, CancelGraph(job=job))
+
+    def announce(self, number: int, born_ms: int) -> None:
+        """Send a heartbeat of a new life."""
+        beat = Heartbeat(
+            worker=worker_spec(number, born_ms=born_ms),
+            draining=False,
+            sequence=1,
+        )
+        if self.leader is not None:
+            self.loop.create_task(self.leader.on_heartbeat(beat))
+
+    async def play(self, jobs: int, *, harms: bool = True) -> None:
+        """Hand jobs in while harm is done, then let everything finish."""
+        expiry = asyncio.create_task(self.ports.expire_leases())
+        watch = asyncio.create_task(self.watch())
+        self.elect()
+        await asyncio.sleep(0.2)
+        for number in range(jobs):
+            self.submit(number)
+            await asyncio.sleep(self.random.uniform(0.05, 1.0))
+            if harms and self.random.random() < 0.5:
+                await self.disturb()
+        self.ports.cut.clear()
+        self.ports.faults = 0
+        if harms:
+            self.elect()
+            for worker in list(self.ports.at.values()):
+                number = int(worker.spec.worker.removeprefix('w'))
+                self.announce(number, worker.spec.born_ms)
+        await asyncio.sleep(90)
+        for task in (expiry, watch, self.task):
+            if task is not None:
+                task.cancel()
+
+    def check(self) -> None:
+        """Check what was promised."""
+        assert not self.broken, self.broken[:5]
+        for name, job in self.state.jobs.items():
+            assert job.phase in {
+                JobPhase.COMPLETED,
+                JobPhase.CANCELLED,
+            }, (name, job.phase, [s.done for s in job.occurrences[0]])
+        assert not self.state.runs
+
+
+class TestLifeCycle:
+    """Runs of tasks under failures."""
+
+    @pytest.mark.parametrize('seed', range(25))
+    def test_failures(self, seed: int) -> None:
+        """Every job ends, and no task ever runs twice at once."""
+        cluster = Cluster(seed=seed, faults=0.05)
+        run_virtual(cluster.play(25), cluster.loop)
+        cluster.check()
+
+    def test_calm(self) -> None:
+        """Without failures each task runs once."""
+        cluster = Cluster(seed=1, faults=0.0)
+        run_virtual(cluster.play(15, harms=False), cluster.loop)
+        cluster.check()
+        starts = defaultdict(int)
+        for worker in cluster.ports.all:
+            for end in worker.ends:
+                assert end.end is not EndKind.ALONE
+            for task, _, _ in worker.started:
+                starts[task] += 1
+        urgent = {
+            name
+            for name, job in cluster.state.jobs.items()
+            if job.queue.priority == URGENT_PRIORITY
+        }
+        for task, count in starts.items():
+            if task.job in urgent:
+                assert count == 1
+
+    def test_cancel_stops_runs(self) -> None:
+        """A cancelled job runs nowhere half a second later."""
+        cluster = Cluster(seed=2, faults=0.0)
+        cluster.ports.duration_s = 30.0
+
+        async def play() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            cluster.submit(0)
+            await asyncio.sleep(0.5)
+            apply(cluster.state, CancelGraph(job=JobId('job-0')))
+            cluster.leader.replan()
+            await asyncio.sleep(0.5)
+
+        run_virtual(play(), cluster.loop)
+        assert not any(worker.runs for worker in cluster.ports.all)
+
+
+class TestSilentWorker:
+    """A worker that is cut off and runs on."""
+
+    def test_lease_decides(self) -> None:
+        """Its tasks start elsewhere only after its lease has ended."""
+        cluster = Cluster(seed=3, faults=0.0)
+        cluster.ports.duration_s = 60.0
+        for worker in cluster.ports.all:
+            worker.duration_s = 60.0
+
+        async def play() -> None:
+            expiry = asyncio.create_task(cluster.ports.expire_leases())
+            watch = asyncio.create_task(cluster.watch())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('long', step_spec(1, 8)))
+            cluster.leader.replan()
+            await asyncio.sleep(0.5)
+            busy = next(held for held in cluster.ports.all if held.runs)
+            cluster.ports.cut.add(busy.spec.address)
+            await asyncio.sleep(20)
+            expiry.cancel()
+            watch.cancel()
+
+        run_virtual(play(), cluster.loop)
+        assert not cluster.broken
+        starts = [held for held in cluster.ports.all if held.started]
+        assert len(starts) == 2
+
+
+def _submit(name: str, *steps: StepSpec) -> SubmitGraph:
+    return SubmitGraph(graph=graph_spec(name, *steps))
--- /dev/null
+++ b/tests/test_graph_planning.py
@@ -0,0 +1,238 @@
+"""Guards against broken guarantees, split gangs and wasted capacity."""
+
+from collections import Counter
+
+from mangotrail._graphs import (
+    DrainWorker,
+    RegisterWorker,
+    RunStart,
+    SetConfiguration,
+    StartRuns,
+    StepSpec,
+    SubmitGraph,
+    TaskKey,
+)
+from mangotrail.graphs.planning import (
+    Plan,
+    Planner,
+    RunInfo,
+    entitled_jobs,
+)
+from mangotrail.graphs.slots import Slot
+from mangotrail.graphs.state import GraphState
+from mangotrail.ids import AccountId, JobId
+from tests.graph_fakes import (
+    NORMAL,
+    URGENT,
+    apply,
+    configuration,
+    filled_state,
+    graph_spec,
+    step_spec,
+    worker_spec,
+)
+
+WORKERS = 8
+
+
+class Site:
+    """Workers in two racks, and plans that take effect at once."""
+
+    def __init__(self, *, guaranteed: int = 32) -> None:
+        self.state: GraphState = filled_state()
+        apply(
+            self.state,
+            SetConfiguration(
+                configuration=configuration(2, guaranteed=guaranteed)
+            ),
+        )
+        for number in range(WORKERS):
+            apply(self.state, RegisterWorker(worker=worker_spec(number)))
+        self.claims: dict = {}
+        self.now_ms = 0
+        self.runs: dict[TaskKey, RunInfo] = {}
+
+    def submit(
+        self,
+        name: str,
+        *steps: StepSpec,
+        urgent: bool = False,
+        account: str = 'acme',
+    ) -> None:
+        """Accept a job."""
+        graph = graph_spec(
+            name,
+            *steps,
+            queue=URGENT if urgent else NORMAL,
+            account=AccountId(account),
+        )
+        apply(self.state, SubmitGraph(graph=graph), time_ms=self.now_ms)
+
+    def plan(self) -> Plan:
+        """Make a plan and let its starts take effect."""
+        slots = {
+            life: Slot(held.spec, is_open=not held.draining)
+            for life, held in self.state.workers.items()
+        }
+        plan = Planner(
+            state=self.state,
+            slots=slots,
+            runs=self.runs,
+            claims=self.claims,
+            now_ms=self.now_ms,
+        ).plan()
+        self.claims = dict(plan.claims)
+        for task in plan.stops:
+            self.runs[task] = RunInfo(stopping=True)
+        accepted = apply(self.state, StartRuns(starts=plan.starts))
+        assert len(accepted) == len(plan.starts)
+        self.check_capacity()
+        return plan
+
+    def check_capacity(self) -> None:
+        """Check that no worker holds more than it has."""
+        used: Counter[str] = Counter()
+        for task, start in self.state.runs.items():
+            need = self.state.jobs[task.job].step(task).spec.need
+            used[start.life] += need.accelerators
+        assert max(used.values(), default=0) <= 8
+
+    def starts(self, plan: Plan, name: str) -> list[RunStart]:
+        """Return the starts of one job."""
+        return [held for held in plan.starts if held.task.job == name]
+
+    def racks(self, starts: list[RunStart]) -> set[str]:
+        """Return the racks that starts are on."""
+        return {self.state.workers[start.life].spec.rack for start in starts}
+
+
+class TestGangs:
+    """Tasks that only work together."""
+
+    def test_whole_or_not(self) -> None:
+        """A gang that doesn't fit whole doesn't start at all."""
+        site = Site()
+        site.submit('small', step_spec(5, 8))
+        site.plan()
+        site.submit('large', step_spec(4, 8, gang=True))
+        assert not site.plan().starts
+
+    def test_same_rack(self) -> None:
+        """A gang that must be near itself starts in one rack."""
+        site = Site()
+        site.submit('spread', step_spec(2, 8, gang=True))
+        site.submit('near', step_spec(4, 8, gang=True, same_rack=True))
+        plan = site.plan()
+        assert len(site.racks(site.starts(plan, 'near'))) == 1
+
+    def test_wider_than_a_rack(self) -> None:
+        """A gang that no rack can hold runs on several at once."""
+        site = Site()
+        site.submit('wide', step_spec(6, 8, gang=True, same_rack=True))
+        assert len(site.plan().starts) == 6
+
+    def test_small_tasks_leave_whole_workers(self) -> None:
+        """Small tasks are packed, so that large ones find whole workers."""
+        site = Site()
+        site.submit('small', step_spec(8, 1))
+        site.plan()
+        assert len({start.life for start in site.state.runs.values()}) == 1
+
+
+class TestPlaces:
+    """Where tasks may run."""
+
+    def test_label(self) -> None:
+        """A task runs only where its label is."""
+        site = Site()
+        site.submit('picky', step_spec(1, 1, label='rack-1'))
+        assert site.racks(site.plan().starts) == {'rack-1'}
+
+    def test_limit_for_each_worker(self) -> None:
+        """Tasks that avoid each other spread, also over several plans."""
+        site = Site()
+        site.submit('apart', step_spec(20, 1, per_worker_limit=2))
+        for _ in range(2):
+            site.plan()
+        homes = Counter(start.life for start in site.state.runs.values())
+        assert set(homes.values()) == {2}
+
+    def test_data_rack(self) -> None:
+        """Tasks run near their data, or far from it rather than not at all."""
+        site = Site()
+        site.submit('near', step_spec(33, 1, data_rack='rack-1'))
+        assert site.racks(site.plan().starts) == {'rack-1'}
+        assert not site.plan().starts
+        site.now_ms += 2_500
+        assert site.racks(site.plan().starts) == {'rack-0'}
+
+    def test_draining(self) -> None:
+        """Nothing starts on a worker that is leaving."""
+        site = Site()
+        for number in range(7):
+            apply(site.state, DrainWorker(life=worker_spec(number).life))
+        site.submit('job', step_spec(3, 4))
+        assert {start.life for start in site.plan().starts} == {'w7@1'}
+
+
+class TestGuarantees:
+    """Accelerators that an account can always have for urgent jobs."""
+
+    def test_reclaimed(self) -> None:
+        """Borrowed capacity is stopped and kept for the urgent job."""
+        site = Site()
+        site.submit('borrower', step_spec(8, 8))
+        site.plan()
+        site.submit('urgent', step_spec(4, 8, gang=True), urgent=True)
+        plan = site.plan()
+        assert len(plan.stops) == 4
+        site.submit('thief', step_spec(8, 8))
+        for task in plan.stops:
+            del site.state.runs[task]
+        plan = site.plan()
+        assert len(site.starts(plan, 'urgent')) == 4
+        assert not site.starts(plan, 'thief')
+
+    def test_order_of_acceptance(self) -> None:
+        """The guarantee covers the jobs that came first."""
+        site = Site(guaranteed=16)
+        for number in range(3):
+            site.now_ms += 1
+            name = f'urgent-{number}'
+            site.submit(name, step_spec(1, 8, gang=True), urgent=True)
+        assert entitled_jobs(site.state) == {
+            JobId('urgent-0'),
+            JobId('urgent-1'),
+        }
+
+    def test_beyond_the_guarantee_gives_way(self) -> None:
+        """An urgent job beyond its account's guarantee makes room."""
+        site = Site()
+        site.submit(
+            'over', step_spec(8, 8, gang=True), urgent=True, account='x'
+        )
+        assert len(site.plan().starts) == 8
+        site.submit('urgent', step_spec(1, 8, gang=True), urgent=True)
+        assert len(site.plan().stops) == 8
+
+    def test_guaranteed_work_stays(self) -> None:
+        """What runs inside a guarantee is not stopped for others."""
+        site = Site(guaranteed=64)
+        site.submit('held', step_spec(8, 8, gang=True), urgent=True)
+        site.plan()
+        site.submit('late', step_spec(1, 8, gang=True), urgent=True)
+        assert not site.plan().stops
+
+    def test_cheapest_victims(self) -> None:
+        """What has run shortest or saves its progress is stopped first."""
+        site = Site()
+        site.submit('old', step_spec(4, 8))
+        site.submit('saving', step_spec(4, 8, checkpoints=True))
+        site.plan()
+        for task in site.state.runs:
+            site.runs[task] = RunInfo(started_ms=1)
+        site.now_ms = 10_000
+        site.submit('urgent', step_spec(2, 8, gang=True), urgent=True)
+        plan = site.plan()
+        assert {task.job for task in plan.stops} == {'saving'}
+        assert len(plan.stops) == 2
--- /dev/null
+++ b/tests/test_graph_state.py
@@ -0,0 +1,281 @@
+"""Guards against commands that forget, double or revive work."""
+
+from mangotrail._graphs import (
+    CancelGraph,
+    DrainWorker,
+    EndKind,
+    EndRuns,
+    JobPhase,
+    OpenOccurrence,
+    RegisterWorker,
+    RemoveWorker,
+    RunEnd,
+    RunStart,
+    SetConfiguration,
+    SetZone,
+    StartRuns,
+    SubmitGraph,
+    TaskKey,
+    Verdict,
+)
+from mangotrail.graphs.state import KEPT_AFTER_END_MS, GraphState
+from mangotrail.ids import AccountId, JobId, ZoneId
+from tests.graph_fakes import (
+    apply,
+    configuration,
+    filled_state,
+    graph_spec,
+    step_spec,
+    worker_spec,
+)
+
+WORKER = worker_spec(0)
+
+
+def key(index: int = 0, step: int = 0, occurrence: int = 0) -> TaskKey:
+    """Return a task of the job under test."""
+    return TaskKey(
+        job=JobId('job'), occurrence=occurrence, step=step, index=index
+    )
+
+
+def start(task: TaskKey, run: int = 1) -> RunStart:
+    """Return a start on the worker under test."""
+    return RunStart(task=task, run=run, life=WORKER.life)
+
+
+def end(task: TaskKey, kind: EndKind, run: int = 1, saved: str = '') -> EndRuns:
+    """Return a command that ends one run."""
+    return EndRuns(
+        ends=(RunEnd(task=task, run=run, end=kind, checkpoint=saved),)
+    )
+
+
+def running_state(
+    *steps: object, tasks: int = 1, **changes: object
+) -> GraphState:
+    """Return a state in which the first tasks of a job run."""
+    state = filled_state(graph_spec('job', *steps, **changes))
+    apply(
+        state,
+        RegisterWorker(worker=WORKER),
+        StartRuns(starts=tuple(start(key(index)) for index in range(tasks))),
+    )
+    return state
+
+
+def job_of(state: GraphState) -> object:
+    """Return the job under test."""
+    return state.jobs[JobId('job')]
+
+
+class TestConfigurations:
+    """Versions of the configuration."""
+
+    def test_highest_stays(self) -> None:
+        """An older or equal version changes nothing and is acknowledged."""
+        state = filled_state()
+        apply(state, SetConfiguration(configuration=configuration(7)))
+        for version in (7, 3):
+            other = configuration(version, guaranteed=1)
+            result = apply(state, SetConfiguration(configuration=other))
+            assert result.verdict is Verdict.OK
+            assert state.configuration == configuration(7)
+
+
+class TestSubmissions:
+    """Jobs that are handed in."""
+
+    def test_twice(self) -> None:
+        """A job that arrives again stays one job."""
+        state = running_state()
+        result = apply(state, SubmitGraph(graph=graph_spec('job')))
+        assert result.verdict is Verdict.OK
+        assert job_of(state).phase is JobPhase.RUNNING
+
+    def test_other_account(self) -> None:
+        """An id of another account's job is refused."""
+        state = running_state()
+        graph = graph_spec('job', account=AccountId('other'))
+        result = apply(state, SubmitGraph(graph=graph))
+        assert result.verdict is Verdict.CONFLICT
+
+    def test_forgotten_after_retention(self) -> None:
+        """An ended job is known until the retention has passed."""
+        state = running_state()
+        apply(state, end(key(), EndKind.DONE))
+        other = SubmitGraph(graph=graph_spec('other'))
+        apply(state, other, time_ms=KEPT_AFTER_END_MS - 1)
+        assert JobId('job') in state.jobs
+
+
+class TestStarts:
+    """Runs that are numbered."""
+
+    def test_one_run_of_a_task(self) -> None:
+        """A second run is refused while the first may be on."""
+        state = running_state()
+        assert not apply(state, StartRuns(starts=(start(key(), run=2),)))
+
+    def test_numbers_rise(self) -> None:
+        """A number is never used again."""
+        state = running_state()
+        apply(state, end(key(), EndKind.STOPPED))
+        assert not apply(state, StartRuns(starts=(start(key(), run=1),)))
+        assert apply(state, StartRuns(starts=(start(key(), run=2),)))
+
+    def test_order_of_steps(self) -> None:
+        """A step waits for all tasks of the step before."""
+        steps = (step_spec(2), step_spec(1, after=(0,)))
+        state = running_state(*steps, tasks=2)
+        later = StartRuns(starts=(start(key(step=1)),))
+        apply(state, end(key(0), EndKind.DONE))
+        assert not apply(state, later)
+        apply(state, end(key(1), EndKind.DONE))
+        assert apply(state, later)
+
+    def test_whole_gang(self) -> None:
+        """A gang is numbered whole or not at all."""
+        state = running_state(step_spec(2, gang=True), tasks=0)
+        lost = RunStart(task=key(1), run=1, life=worker_spec(5).life)
+        assert not apply(state, StartRuns(starts=(start(key(0)), lost)))
+        assert not state.runs
+
+    def test_closed_places(self) -> None:
+        """Nothing starts in a closed zone or on a draining worker."""
+        state = running_state(tasks=0)
+        apply(state, SetZone(zone=WORKER.zone, open=False))
+        assert not apply(state, StartRuns(starts=(start(key()),)))
+        apply(state, SetZone(zone=WORKER.zone, open=True))
+        apply(state, DrainWorker(life=WORKER.life))
+        assert not apply(state, StartRuns(starts=(start(key()),)))
+
+    def test_cancelled(self) -> None:
+        """Nothing starts for a cancelled job."""
+        state = running_state(tasks=0)
+        apply(state, CancelGraph(job=JobId('job')))
+        assert not apply(state, StartRuns(starts=(start(key()),)))
+
+
+class TestEnds:
+    """Runs that end."""
+
+    def test_completed(self) -> None:
+        """The job completes with its last task, not before."""
+        state = running_state(step_spec(2), tasks=2)
+        apply(state, end(key(0), EndKind.DONE))
+        assert job_of(state).phase is JobPhase.RUNNING
+        apply(state, end(key(1), EndKind.DONE))
+        assert job_of(state).phase is JobPhase.COMPLETED
+
+    def test_one_member_stands_for_its_gang(self) -> None:
+        """One member that is done makes its whole gang done."""
+        state = running_state(step_spec(3, gang=True), tasks=3)
+        apply(state, end(key(1), EndKind.DONE))
+        assert job_of(state).phase is JobPhase.COMPLETED
+        assert len(state.runs) == 2
+
+    def test_attempts(self) -> None:
+        """Only failures count as attempts, and the last one fails the job."""
+        state = running_state()
+        kinds = (
+            EndKind.FAILED,
+            EndKind.STOPPED,
+            EndKind.LOST,
+            EndKind.FAILED,
+            EndKind.FAILED,
+        )
+        for run, kind in enumerate(kinds, start=1):
+            assert job_of(state).phase is JobPhase.RUNNING
+            apply(state, end(key(), kind, run=run))
+            apply(state, StartRuns(starts=(start(key(), run=run + 1),)))
+        assert job_of(state).phase is JobPhase.FAILED
+        assert not state.runs
+
+    def test_gang_counts_a_run_once(self) -> None:
+        """Two members that fail in one run are one failed attempt."""
+        state = running_state(step_spec(2, gang=True), tasks=2)
+        apply(state, end(key(0), EndKind.FAILED), end(key(1), EndKind.FAILED))
+        assert job_of(state).occurrences[0][0].failures[0] == 1
+
+    def test_outdated_end(self) -> None:
+        """The end of an earlier run does not end the present one."""
+        state = running_state()
+        apply(state, end(key(), EndKind.STOPPED))
+        apply(state, StartRuns(starts=(start(key(), run=2),)))
+        apply(state, end(key(), EndKind.DONE, run=1))
+        assert key() in state.runs
+
+    def test_saved_progress(self) -> None:
+        """Any member's progress is its gang's."""
+        state = running_state(
+            step_spec(2, gang=True, checkpoints=True), tasks=2
+        )
+        apply(
+            state,
+            end(key(1), EndKind.STOPPED, saved='half'),
+            end(key(0), EndKind.BROKEN),
+        )
+        step = job_of(state).occurrences[0][0]
+        assert [step.checkpoint(0), step.checkpoint(1)] == ['half', 'half']
+        assert step.next_run(0) == 2
+
+    def test_lost_with_its_worker(self) -> None:
+        """Runs of a life that is over may start again."""
+        state = running_state()
+        apply(state, RemoveWorker(life=WORKER.life))
+        assert not state.runs
+        assert job_of(state).is_live
+
+    def test_never_started_is_pending(self) -> None:
+        """A job whose only order came to nothing still waits."""
+        state = running_state()
+        apply(state, end(key(), EndKind.NEVER_STARTED))
+        assert job_of(state).is_pending
+        assert job_of(state).phase is JobPhase.QUEUED
+
+    def test_lasting(self) -> None:
+        """A lasting task starts again however it ends."""
+        state = running_state(step_spec(1, lasting=True))
+        for run, kind in enumerate((EndKind.DONE, *[EndKind.FAILED] * 5), 1):
+            apply(state, end(key(), kind, run=run))
+            again = StartRuns(starts=(start(key(), run=run + 1),))
+            assert apply(state, again)
+
+
+class TestOccurrences:
+    """Jobs that run at set times."""
+
+    def test_in_turn(self) -> None:
+        """Occurrences open in order, and the last one completes the job."""
+        state = running_state(tasks=0, occurrences=2, first_due_ms=5)
+        job = job_of(state)
+        apply(state, OpenOccurrence(job=JobId('job'), occurrence=1))
+        assert not job.occurrences
+        for number in range(2):
+            assert job.is_live
+            apply(state, OpenOccurrence(job=JobId('job'), occurrence=number))
+            task = key(occurrence=number)
+            apply(state, StartRuns(starts=(start(task),)))
+            apply(state, end(task, EndKind.DONE))
+        assert job.phase is JobPhase.COMPLETED
+
+
+class TestSnapshots:
+    """The state, encoded."""
+
+    def test_round_trip(self) -> None:
+        """A restored state is the same and goes on in the same way."""
+        state = running_state(step_spec(3), step_spec(1, after=(0,)), tasks=2)
+        apply(
+            state,
+            SetZone(zone=ZoneId('b'), open=False),
+            end(key(0), EndKind.DONE),
+            end(key(1), EndKind.FAILED, saved='x'),
+        )
+        copy = GraphState()
+        copy.restore(state.snapshot())
+        assert copy.snapshot() == state.snapshot()
+        for held in (state, copy):
+            apply(held, StartRuns(starts=(start(key(1), run=2),)))
+        assert copy.snapshot() == state.snapshot()
