Pass requests to join on to the leader

Cause: a control instance that lost its disk knows the seeds only, and asked nobody else to let it join.

Ruled out: load (the case repeats with the same log), slow start (the instance was up after 0.13 s), the build (same tree).

Change: a follower passes a request of a member outside the group on to its leader. The group promotes a caught-up learner before it removes another lost voter, so that it never has fewer than four.

--- a/mangotrail/agreement.py
+++ b/mangotrail/agreement.py
@@ -299,8 +299,15 @@
             lead.take_snapshot_reply(reply, now_s)
 
     def on_join(self, message: Join, now_s: float) -> None:
-        """Note that a member outside the group wants to become a learner."""
+        """Note that a member outside the group wants to become a learner.
+
+        A follower passes the request on: a member that lost its disk may
+        know the addresses of followers only.
+        """
         if self.role is not Role.LEADER:
+            if self.leader != NOBODY and message.sender not in self.members:
+                passed = msgspec.structs.replace(message, term=self.term)
+                self.send(self.leader_instance, passed)
             return
         self.joined = {
             instance: asked
--- a/mangotrail/graphs/group.py
+++ b/mangotrail/graphs/group.py
@@ -67,7 +67,7 @@
 
 def next_group_config(health: GroupHealth) -> GroupConfig | None:
     """Return the configuration to propose next, None if all is well."""
-    for step in (_admit, _remove_lost, _promote):
+    for step in (_admit, _promote, _remove_lost):
         config = step(health)
         if config is not None:
             return config
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -339,6 +339,7 @@
     now_s: float = 0,
     config: GroupConfig = CONFIG,
     hard_state: HardState | None = None,
+    min_copies: int = 0,
 ) -> Agreement:
     """Return member a, started at a time."""
     agreement = Agreement(
@@ -349,6 +350,7 @@
         config=config,
         seed=1,
         can_vote=can_vote,
+        min_copies=min_copies,
     )
     agreement.tick(now_s)
     return agreement
@@ -627,6 +629,47 @@
             assert not agreement.receive(message, 2).entries
         assert agreement.counters.total() == 5
 
+    def test_join_reaches_the_leader(self) -> None:
+        """A member that lost its disk may know only members that follow.
+
+        Its request has to reach the leader through them.
+        """
+        agreement = member()
+        join = Join(
+            to=MemberId(''),
+            sender=MemberId('z'),
+            term=0,
+            instance=InstanceId('on-z'),
+        )
+        # Before a leader is known there is nowhere to pass it on to.
+        assert not agreement.receive(join, 2).messages
+        effects = agreement.receive(heartbeat(), 2)
+        agreement.synced(effects.write, 2)
+        passed = [
+            out
+            for out in agreement.receive(join, 2).messages
+            if isinstance(out.message, Join)
+        ]
+        assert [out.instance for out in passed] == [InstanceId('on-b')]
+        assert passed[0].message.sender == MemberId('z')
+        assert passed[0].message.instance == InstanceId('on-z')
+
+    def test_copies(self) -> None:
+        """An entry waits for the disks that a loss may take, not for votes.
+
+        Three founders would otherwise acknowledge on two disks, and the loss
+        of both would lose what was acknowledged.
+        """
+        agreement = member(min_copies=3)
+        elected = elect(agreement, 5)
+        effects = agreement.synced(elected.write, 5)
+        effects = agreement.receive(accept(agreement, 1, 5), 5)
+        assert not effects.committed
+        third = msgspec.structs.replace(
+            accept(agreement, 1, 5), sender=MemberId('c')
+        )
+        assert agreement.receive(third, 5).committed
+
     def test_timing(self) -> None:
         """Authority longer than the refusal of votes allows two leaders."""
         with pytest.raises(SettingsError):
