--- a/mangotrail/_frames.py
+++ b/mangotrail/_frames.py
@@ -69,15 +69,19 @@
         offset = frame.end
 
 
-def has_later_frame(data: bytes, segment: int, offset: int) -> bool:
-    """Whether an intact header starts anywhere after an offset.
+def is_damaged(data: bytes, segment: int, offset: int) -> bool:
+    """Whether what is broken at an offset was durable once.
 
-    A frame is written only after the one before it was synced, so a later
-    header proves that what is broken here was durable once.
+    The mark after a synced frame and the next frame become durable together,
+    with the sync of that frame. A power loss before it may keep either, so
+    an intact frame right behind a missing mark proves nothing. A header
+    anywhere else was written after a sync that covered the broken place.
     """
+    unsynced = offset + HEADER_BYTES
     at = data.find(MAGIC, offset + 1)
     while at >= 0:
-        if payload_range(data, segment, at) is not None:
+        found = payload_range(data, segment, at)
+        if found is not None and at != unsynced:
             return True
         at = data.find(MAGIC, at + 1)
     return False
--- a/mangotrail/_recovery.py
+++ b/mangotrail/_recovery.py
@@ -9,7 +9,7 @@
 
 from mangotrail._effects import Snapshot
 from mangotrail._files import IDENTITY_NAME, damage_error
-from mangotrail._frames import has_later_frame, read_frames
+from mangotrail._frames import is_damaged, read_frames
 from mangotrail._peer import (
     HardState,
     JournalBatch,
@@ -130,7 +130,7 @@
         self.cut_bytes = len(data) - self.end
         is_last = segment == max(self.segments)
         if self.cut_bytes and (
-            not is_last or has_later_frame(data, segment, self.end)
+            not is_last or is_damaged(data, segment, self.end)
         ):
             raise damaged(path, self.end)
 
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -155,10 +155,21 @@
         group.crash(group.leader().place.instance)
         group.run_until(lambda: group.leader() is not None, 4)
 
+    def all_confirmed(self, group: Simulation) -> bool:
+        """Whether the leader knows where each log matches its own."""
+        node = group.leader()
+        lead = node.agreement.replication if node else None
+        return lead is not None and not any(
+            peer.probing for peer in lead.peers.values()
+        )
+
     def test_group_commit(self) -> None:
         """One message for each command would cost a sync for each."""
         group = Simulation(2)
         group.run_until(group.is_whole, 4)
+        # A learner that was just taken in gets one batch at a time until it
+        # has confirmed the first.
+        group.run_until(lambda: self.all_confirmed(group), 4)
         node = group.leader()
         group.propose_burst(20)
         effects = node.agreement.tick(group.clock_s(node))
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -283,6 +283,44 @@
         journal.close()
         assert reopen(folder).entries[:3] == tuple(entries(5, 7, term=2))
 
+    @pytest.mark.parametrize('kept', [HEADER_BYTES, HEADER_BYTES + 9, 10**6])
+    def test_lost_mark(self, tmp_path: Path, kept: int) -> None:
+        """A power loss may keep an unsynced frame but not the mark before it.
+
+        Neither was synced, so nothing durable is broken, and the member must
+        come back with all that was.
+        """
+        folder = tmp_path / 'torn'
+        journal = FileJournal(folder)
+        journal.load()
+        start(journal)
+        durable = journal.offset - HEADER_BYTES
+        write(journal, *entries(3, 4))
+        journal.close()
+        path = folder / 'journal-0000000000'
+        data = bytearray(path.read_bytes())
+        data[durable : durable + HEADER_BYTES] = bytes(HEADER_BYTES)
+        # The mark of the second write follows its sync, so it is lost too.
+        end = min(durable + HEADER_BYTES + kept, len(data) - HEADER_BYTES)
+        path.write_bytes(data[:end])
+        assert reopen(folder) == recovered(0, entries(1, 2))
+
+    def test_lost_mark_of_a_synced_frame(self, tmp_path: Path) -> None:
+        """A later mark proves that the broken place was durable once."""
+        folder = tmp_path / 'damaged'
+        journal = FileJournal(folder)
+        journal.load()
+        start(journal)
+        durable = journal.offset - HEADER_BYTES
+        write(journal, *entries(3, 4))
+        journal.close()
+        path = folder / 'journal-0000000000'
+        data = bytearray(path.read_bytes())
+        data[durable : durable + HEADER_BYTES] = bytes(HEADER_BYTES)
+        path.write_bytes(data)
+        with pytest.raises(DamagedJournalError):
+            reopen(folder)
+
     def test_missing_files(self, tmp_path: Path) -> None:
         """A lost segment must not look like a short log."""
         journal = FileJournal(tmp_path)
