--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -9,6 +9,7 @@
 from mangotrail._graph_settings import GraphSettings
 from mangotrail._graphs import (
     DrainWorker,
+    EndKind,
     EndRuns,
     GraphCommandBody,
     Heartbeat,
@@ -26,8 +27,14 @@
 from mangotrail.graphs.planning import Claim, Plan, Planner, RunInfo, UnitKey
 from mangotrail.graphs.session import RunPhase, Session, SessionOwner
 from mangotrail.graphs.slots import Slot
+from mangotrail.graphs.suspicion import (
+    Suspicion,
+    Usage,
+    idle_workers,
+    stalled_runs,
+)
 from mangotrail.graphs.worker_port import WorkerPorts
-from mangotrail.ids import LifeId, WorkerId
+from mangotrail.ids import JobId, LifeId, WorkerId
 
 # Plans are made at most this often, so that events that come together are
 # answered by one plan.
@@ -67,6 +74,7 @@
         self.session_tasks: dict[LifeId, asyncio.Task[None]] = {}
         self.sequences: dict[LifeId, int] = {}
         self.claims: dict[UnitKey, Claim] = {}
+        self.suspicion = Suspicion()
         self.wake = asyncio.Event()
         self.is_aside = False
 
@@ -102,8 +110,22 @@
                 end.end.value,
                 session.worker.worker,
             )
+            self.judge(session, end)
         return await self.commit(EndRuns(ends=ends)) is not None
 
+    def judge(self, session: Session, end: RunEnd) -> None:
+        """Take an end as evidence for or against the worker."""
+        life = session.worker.life
+        if end.end is EndKind.DONE:
+            self.suspicion.succeed(life)
+        elif end.end is EndKind.FAILED:
+            now_s = self.clock.age_s()
+            if self.suspicion.fail(life, end.task.job, now_s):
+                logger.warning(
+                    'Worker {} fails what it starts and rests',
+                    session.worker.worker,
+                )
+
     async def end_life(self, session: Session) -> None:
         """Forget a worker whose life is over."""
         life = session.worker.life
@@ -145,6 +167,7 @@
                 if self.may_order():
                     await self.open_occurrences()
                     self.stop_unwanted()
+                    self.stop_stalled()
                     await self.carry_out(self.make_plan())
                 await self._pause()
         finally:
@@ -207,6 +230,34 @@
             ):
                 session.stop(task)
 
+    def stop_stalled(self) -> None:
+        """Stop what stands still, so that it starts on other workers."""
+        now_s = self.clock.age_s()
+        groups: dict[tuple[JobId, int, int, int], list[TaskKey]] = {}
+        usage = {}
+        for session in self.sessions.values():
+            for task, held in session.runs.items():
+                usage[task] = Usage(
+                    life=session.worker.life, idle_since_s=held.idle_since_s
+                )
+                job = self.state.jobs[task.job]
+                step = job.step(task)
+                if step is None or step.spec.lasting or step.spec.fills:
+                    continue
+                single = 0 if step.spec.gang else task.index + 1
+                group = (task.job, task.occurrence, task.step, single)
+                groups.setdefault(group, []).append(task)
+        stalled = stalled_runs(groups.values(), usage, now_s)
+        for life in idle_workers(stalled, usage):
+            session = self.sessions[life]
+            logger.warning(
+                'Tasks on worker {} stand still; it rests',
+                session.worker.worker,
+            )
+            self.suspicion.rest(life, now_s)
+        for task in stalled:
+            self.sessions[usage[task].life].stop(task)
+
     def is_broken(self, task: TaskKey) -> bool:
         """Whether another member of a task's gang is gone, but not done."""
         job = self.state.jobs[task.job]
@@ -232,6 +283,7 @@
     def make_plan(self) -> Plan:
         """Decide what starts and what stops."""
         now_s = self.clock.age_s()
+        resting = self.suspicion.resting(self.state.workers, now_s)
         slots = {}
         for life, held in self.state.workers.items():
             session = self.sessions.get(life)
@@ -239,6 +291,7 @@
                 held.spec,
                 is_open=session is not None
                 and session.is_usable(now_s)
+                and life not in resting
                 and not held.draining
                 and held.spec.zone not in self.state.closed_zones,
             )
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -25,9 +25,12 @@
 ACCELERATOR_CORES = 8
 # Share of accelerators in use under which waiting for a rack is pointless.
 IDLE_SHARE = 0.5
-# Weight of work that is not saved, against work that is, when runs are
-# stopped: a saved run loses only what it did since its last checkpoint.
-UNSAVED_WEIGHT = 4
+# What a stopped run loses that saves its progress when it is stopped: the
+# stop itself (up to 0.4 s) and the time to resume (up to 0.6 s).
+SAVED_LOSS_S = 0.8
+# A unit that has used up this share of the time that it can wait may stop
+# work of lower priority.
+PRESSING_SHARE = 0.35
 
 UnitKey = tuple[JobId, int, int]
 
@@ -116,6 +119,12 @@
             + queue.target_latency_ms
         )
 
+    def is_pressing(self, now_ms: int) -> bool:
+        """Whether the job is late unless it starts soon."""
+        latest_ms = self.objective_ms() - chain_ms(self.job.graph.steps)
+        slack_ms = latest_ms - (now_ms - self.waited_ms)
+        return self.waited_ms > PRESSING_SHARE * slack_ms
+
     def start(self, index: int, life: LifeId) -> RunStart:
         """Return the start of a task on a worker."""
         task = TaskKey(
@@ -360,7 +369,7 @@
                 for index, slot in zip(unit.indices, chosen, strict=True):
                     self.start(unit, index, slot)
                 return
-        if unit.is_urgent:
+        if unit.is_urgent or unit.is_pressing(self.now_ms):
             self.make_room(unit)
 
     def place_tasks(self, unit: Unit) -> None:
@@ -484,10 +493,11 @@
         ]
         oldest_ms = min((at for at in started if at), default=planner.now_ms)
         elapsed_s = max(planner.now_ms - oldest_ms, 100) / 1000
-        weight = 1 if self.spec.checkpoints else UNSAVED_WEIGHT
+        if self.spec.checkpoints:
+            elapsed_s = min(elapsed_s, SAVED_LOSS_S)
         need = self.spec.need
         cores = need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
-        self.cost = elapsed_s * weight * cores * len(tasks)
+        self.cost = elapsed_s * cores * len(tasks)
         useful = sum(home in lives for home in self.homes)
         freed = max(need.accelerators, need.memory_mb / 16_384, 1)
         self.rate = self.cost / (useful * freed)
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -10,6 +10,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine, Sequence
 from enum import Enum
+from math import inf
 from typing import Any
 
 from loguru import logger
@@ -17,9 +18,11 @@
 from mangotrail._graph_settings import GraphTiming
 from mangotrail._graphs import EndKind, RunEnd, RunStart, TaskKey, WorkerSpec
 from mangotrail.clock import Clock
+from mangotrail.graphs.suspicion import WARM_UP_S
 from mangotrail.graphs.worker_clock import WorkerClock
 from mangotrail.graphs.worker_port import (
     Listing,
+    Silence,
     StartAnswer,
     StartOrder,
     WorkerPort,
@@ -31,6 +34,9 @@
 # with its wait, and half a second for a slow network.
 SILENT_S = 1.7
 RETRY_S = 0.1
+# A worker at whose address nothing listens for this long has ended, and with
+# it all its runs. A restart that takes its address answers as another life.
+ABSENT_S = 0.6
 # A start that the worker has not begun by then is refused by the worker. Two
 # round trips between regions and the queueing of a gang's members fit in.
 START_SPAN_MS = 1_500
@@ -73,9 +79,19 @@
         self.since_s = now_s
         self.stop_answered_s = 0.0
         self.checkpoint = ''
-        self.usage = 0
+        self.idle_since_s: float | None = None
         self.started_ms = 0
 
+    def note_usage(self, usage: int | None, now_s: float) -> None:
+        """Note when the run was first seen using no processor."""
+        warm = self.phase is RunPhase.PRESENT and (
+            now_s - self.since_s >= WARM_UP_S
+        )
+        if usage is None or usage > 0 or not warm:
+            self.idle_since_s = None
+        elif self.idle_since_s is None:
+            self.idle_since_s = now_s
+
 
 class SessionOwner(ABC):
     """What a session needs of the leader."""
@@ -135,6 +151,7 @@
         self.runs: dict[TaskKey, HeldRun] = {}
         self.is_held = False
         self.is_missing = False
+        self.absent_since_s = inf
         self.answered_s = 0.0
         self.rests_until_s = 0.0
         self.acknowledged = 0
@@ -216,8 +233,8 @@
             wait_ms=wait_ms,
         )
         received_s = self.owner.clock.age_s()
-        if listing is None:
-            await self._miss(received_s)
+        if isinstance(listing, Silence):
+            await self._miss(listing, received_s)
         elif listing.is_fenced:
             self.owner.step_aside()
             await asyncio.sleep(RETRY_S)
@@ -225,16 +242,25 @@
             await self._finish()
         else:
             self.is_missing = False
+            self.absent_since_s = inf
             self.clock.note(listing.clock_ms, now_s, received_s)
             self.answered_s = received_s
             await self._take(listing, now_s)
 
-    async def _miss(self, now_s: float) -> None:
+    async def _miss(self, silence: Silence, now_s: float) -> None:
         self.is_missing = True
-        if self.clock.is_over(now_s) and self.runs:
+        if silence is Silence.NO_ANSWER:
+            self.absent_since_s = inf
+        else:
+            self.absent_since_s = min(self.absent_since_s, now_s)
+        absent = now_s - self.absent_since_s >= ABSENT_S
+        if self.runs and (absent or self.clock.is_over(now_s)):
             logger.warning(
-                'Worker {} is silent and its lease is over: {} runs lost',
+                'Worker {} is silent, process_ended={} lease_over={}: {} runs'
+                ' lost',
                 self.worker.worker,
+                absent,
+                self.clock.is_over(now_s),
                 len(self.runs),
             )
             await self._settle([
@@ -273,7 +299,7 @@
                 self._stop_stray(listed.task, listed.run)
                 continue
             held.checkpoint = listed.checkpoint or held.checkpoint
-            held.usage = listed.usage
+            held.note_usage(listed.usage, self.owner.clock.age_s())
             if held.phase in {RunPhase.ADOPTED, RunPhase.UNSURE}:
                 held.phase = RunPhase.PRESENT
         ends.extend(
--- /dev/null
+++ b/mangotrail/graphs/suspicion.py
@@ -0,0 +1,112 @@
+"""Which workers are suspect, judged by what happens to tasks on them.
+
+Answers this load: a few workers fail whatever they start, or let it stand
+still, while they answer all calls. A failing worker has free capacity all the
+time and would attract most new work.
+"""
+
+from collections.abc import Iterable, Mapping
+
+from mangotrail._graphs import TaskKey
+from mangotrail._struct import FrozenStruct
+from mangotrail.ids import JobId, LifeId
+
+# Failures of this many jobs, with no success between, make a worker suspect.
+# One in twenty runs fails by its own fault, so one failure proves nothing.
+FAILED_JOBS = 2
+# Failures that are further apart are taken for those of the jobs themselves.
+FAILURE_SPAN_S = 8.0
+# A suspect worker gets nothing for this long, and is then tried again.
+REST_S = 5.0
+# At most this share of the workers rests at a time: with more, the cause is
+# elsewhere.
+MAX_RESTING_SHARE = 0.3
+# The use of processors is reported for the last half second, so a younger
+# run shows nothing yet.
+WARM_UP_S = 1.0
+# A run that uses no processor for this long stands still, or waits for a
+# member of its gang that does.
+STALL_S = 1.2
+
+
+class Usage(FrozenStruct, frozen=True, kw_only=True):
+    """Use of processors by a run.
+
+    :param idle_since_s: when the run was first seen idle, None if it works.
+    """
+
+    life: LifeId
+    idle_since_s: float | None
+
+
+class Suspicion:
+    """Evidence against workers."""
+
+    def __init__(self) -> None:
+        self.failures: dict[LifeId, dict[JobId, float]] = {}
+        self.rests_until_s: dict[LifeId, float] = {}
+
+    def succeed(self, life: LifeId) -> None:
+        """Note that a task was done on a worker."""
+        self.failures.pop(life, None)
+
+    def fail(self, life: LifeId, job: JobId, now_s: float) -> bool:
+        """Note that a task failed; True if the worker is now suspect."""
+        held = self.failures.setdefault(life, {})
+        held[job] = now_s
+        recent = {
+            name: at for name, at in held.items() if now_s - at < FAILURE_SPAN_S
+        }
+        self.failures[life] = recent
+        if len(recent) < FAILED_JOBS:
+            return False
+        self.rest(life, now_s)
+        return True
+
+    def rest(self, life: LifeId, now_s: float) -> None:
+        """Give a worker nothing for a while."""
+        self.failures.pop(life, None)
+        self.rests_until_s[life] = now_s + REST_S
+
+    def resting(self, lives: Iterable[LifeId], now_s: float) -> set[LifeId]:
+        """Return the workers that rest, those that rest longest first."""
+        held = list(lives)
+        resting = sorted(
+            (life for life in held if self.rests_until_s.get(life, 0) > now_s),
+            key=lambda life: (-self.rests_until_s[life], life),
+        )
+        return set(resting[: int(len(held) * MAX_RESTING_SHARE)])
+
+
+def stalled_runs(
+    groups: Iterable[Iterable[TaskKey]],
+    usage: Mapping[TaskKey, Usage],
+    now_s: float,
+) -> list[TaskKey]:
+    """Return the runs that stand still.
+
+    :param groups: single tasks, and gangs whole: a member that has finished
+        its part is idle until the others have, so a gang stands still only
+        if all its members are idle.
+    """
+    stalled = []
+    for group in groups:
+        tasks = list(group)
+        held = [usage.get(task) for task in tasks]
+        if all(
+            use is not None
+            and use.idle_since_s is not None
+            and now_s - use.idle_since_s >= STALL_S
+            for use in held
+        ):
+            stalled.extend(tasks)
+    return stalled
+
+
+def idle_workers(
+    stalled: Iterable[TaskKey], usage: Mapping[TaskKey, Usage]
+) -> set[LifeId]:
+    """Return the workers of stalled runs on which nothing works."""
+    suspects = {usage[task].life for task in stalled}
+    working = {use.life for use in usage.values() if use.idle_since_s is None}
+    return suspects - working
--- a/mangotrail/graphs/worker_port.py
+++ b/mangotrail/graphs/worker_port.py
@@ -43,14 +43,14 @@
     """A run that a worker lists as present.
 
     :param usage: tail of response times in ms for a task that serves users,
-        thousandths of a core in use for any other.
+        thousandths of a core in use for any other; None if it is not told.
     """
 
     task: TaskKey
     run: int
     checkpoint: str
     percent: int
-    usage: int
+    usage: int | None = None
 
 
 class ListedEnd(FrozenStruct, frozen=True, kw_only=True):
@@ -78,6 +78,14 @@
     is_fenced: bool = False
 
 
+class Silence(Enum):
+    """Why a worker did not list anything."""
+
+    NO_ANSWER = 'no_answer'
+    # Nothing listens at its address, so that its process has ended.
+    NO_PROCESS = 'no_process'
+
+
 class WorkerPort(ABC):
     """Connection to one life of a worker."""
 
@@ -100,8 +108,8 @@
         acknowledged: int,
         deadline_ms: int | None,
         wait_ms: int,
-    ) -> Listing | None:
-        """Renew the lease and list runs and ends; None without an answer.
+    ) -> Listing | Silence:
+        """Renew the lease and list runs and ends.
 
         :param acknowledged: number of the last end that is durable here.
         :param deadline_ms: end of the lease on the worker's clock.
--- a/mangotrail/lean_http.py
+++ b/mangotrail/lean_http.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable, Mapping
+from enum import Enum
 from http import HTTPStatus
 
 import httptools
@@ -46,6 +47,15 @@
     content_type: str = JSON_TYPE
 
 
+class RequestFailure(Enum):
+    """Why a request has no response."""
+
+    # It may have been carried out.
+    NO_RESPONSE = 'no_response'
+    # Nothing listens at the address.
+    REFUSED = 'refused'
+
+
 # None breaks the connection off, because what became of the request is open.
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
 
@@ -277,8 +287,8 @@
 
     async def request(
         self, method: str, path: str, body: bytes, timeout_s: float
-    ) -> HttpResponse | None:
-        """Send a request and return the response, None if there was none.
+    ) -> HttpResponse | RequestFailure:
+        """Send a request and return the response, or why there is none.
 
         Without a response the request may have been carried out, and its
         connection is not used again.
@@ -298,7 +308,9 @@
                 path,
                 error,
             )
-            return None
+            if connection is None and isinstance(error, ConnectionRefusedError):
+                return RequestFailure.REFUSED
+            return RequestFailure.NO_RESPONSE
         finally:
             if connection is not None:
                 self._keep(connection)
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -29,6 +29,7 @@
     ListedEnd,
     ListedRun,
     Listing,
+    Silence,
     StartAnswer,
     StartOrder,
     WorkerPort,
@@ -269,7 +270,7 @@
                     run=held.order.run,
                     checkpoint='',
                     percent=100,
-                    usage=0,
+                    usage=None,
                 )
                 for task, held in self.runs.items()
             ),
@@ -330,13 +331,12 @@
         acknowledged: int,
         deadline_ms: int | None,
         wait_ms: int,
-    ) -> Listing | None:
+    ) -> Listing | Silence:
         """Renew the lease."""
         await asyncio.sleep(TRIP_S)
         worker = self.worker()
         if worker is None:
-            await asyncio.sleep(0.7)
-            return None
+            return await self._silence()
         if worker.spec.life != self.spec.life:
             return Listing(clock_ms=0, is_same_life=False)
         if fencing_token < worker.fence:
@@ -352,10 +352,16 @@
             except TimeoutError:
                 pass
         if self.worker() is not worker:
-            await asyncio.sleep(0.7)
-            return None
+            return await self._silence()
         return worker.listing(acknowledged)
 
+    async def _silence(self) -> Silence:
+        held = self.workers.at[self.spec.address]
+        if not held.is_alive and not self.workers.is_cut(held):
+            return Silence.NO_PROCESS
+        await asyncio.sleep(0.7)
+        return Silence.NO_ANSWER
+
     def close(self) -> None:
         """Nothing is open."""
 
--- /dev/null
+++ b/tests/test_graph_suspicion.py
@@ -0,0 +1,90 @@
+"""Guards against workers that fail or hold up whatever they are given."""
+
+from mangotrail._graphs import TaskKey
+from mangotrail.graphs.suspicion import (
+    FAILURE_SPAN_S,
+    REST_S,
+    STALL_S,
+    Suspicion,
+    Usage,
+    idle_workers,
+    stalled_runs,
+)
+from mangotrail.ids import JobId, LifeId
+
+BAD = LifeId('bad')
+OTHERS = [LifeId(f'w{number}') for number in range(9)]
+
+
+def task(index: int) -> TaskKey:
+    """Return a task."""
+    return TaskKey(job=JobId('job'), occurrence=0, step=0, index=index)
+
+
+def usage(life: str, idle_since_s: float | None) -> Usage:
+    """Return the usage of a run."""
+    return Usage(life=LifeId(life), idle_since_s=idle_since_s)
+
+
+class TestFailures:
+    """Workers that fail what they start."""
+
+    def test_two_jobs(self) -> None:
+        """Failures of two jobs make a worker rest, those of one do not."""
+        held = Suspicion()
+        assert not held.fail(BAD, JobId('a'), 1)
+        assert not held.fail(BAD, JobId('a'), 2)
+        assert held.fail(BAD, JobId('b'), 3)
+        assert held.resting([BAD, *OTHERS], 3) == {BAD}
+        assert not held.resting([BAD, *OTHERS], 3 + REST_S)
+
+    def test_success_between(self) -> None:
+        """A worker that also succeeds is not the cause."""
+        held = Suspicion()
+        held.fail(BAD, JobId('a'), 1)
+        held.succeed(BAD)
+        assert not held.fail(BAD, JobId('b'), 2)
+
+    def test_far_apart(self) -> None:
+        """Failures that are far apart are those of the jobs."""
+        held = Suspicion()
+        held.fail(BAD, JobId('a'), 1)
+        assert not held.fail(BAD, JobId('b'), 1 + FAILURE_SPAN_S)
+
+    def test_most_workers_go_on(self) -> None:
+        """Poisoned jobs that fail everywhere do not empty the service."""
+        held = Suspicion()
+        for life in OTHERS:
+            held.rest(life, 1)
+        assert len(held.resting([BAD, *OTHERS], 1)) == 3
+
+
+class TestStalls:
+    """Tasks that stand still."""
+
+    def test_single_task(self) -> None:
+        """A task that is idle for long stands still, a working one doesn't."""
+        held = {task(0): usage('a', 1.0), task(1): usage('b', None)}
+        groups = [[task(0)], [task(1)]]
+        assert not stalled_runs(groups, held, 1.0 + STALL_S / 2)
+        assert stalled_runs(groups, held, 1.0 + STALL_S) == [task(0)]
+
+    def test_gang_waits_for_one(self) -> None:
+        """Members that have finished wait for one that still works."""
+        held = {task(0): usage('a', 1.0), task(1): usage('b', None)}
+        assert not stalled_runs([[task(0), task(1)]], held, 9.0)
+
+    def test_whole_gang(self) -> None:
+        """A gang with no working member has one that stands still."""
+        held = {task(0): usage('a', 1.0), task(1): usage('b', 2.0)}
+        gang = [task(0), task(1)]
+        assert stalled_runs([gang], held, 2.0 + STALL_S) == gang
+
+    def test_only_idle_workers(self) -> None:
+        """A worker on which something works is not the cause."""
+        held = {
+            task(0): usage('a', 1.0),
+            task(1): usage('b', 1.0),
+            task(2): usage('b', None),
+        }
+        assert idle_workers([task(0), task(1)], held) == {LifeId('a')}
