Serve metrics, bound the logs, test the border to the platform

Cause: after a failure on-call engineers have only logs and metrics; logs were written to standard output without a bound, so that a reader that stops reading would have stopped the process; there were no metrics of jobs made of steps.

Gangs that press no longer stop lower priorities.

Tests: test_bounded_log, test_graph_telemetry, test_lean_http, test_platform_folder.

--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -38,6 +38,7 @@
 from mangotrail.graphs.channels import CallServer, Channels
 from mangotrail.graphs.group import GraphReplica, open_group
 from mangotrail.graphs.leader import GraphLeader, WallClock
+from mangotrail.graphs.telemetry import Telemetry
 from mangotrail.graphs.worker_port import WorkerPorts
 from mangotrail.ids import InstanceId
 
@@ -62,6 +63,7 @@
         self.ports = ports
         self.clock = clock
         self.wall = WallClock(clock)
+        self.telemetry = Telemetry()
         self.channels = Channels(own=settings.address, clock=clock)
         self.replica: GraphReplica = open_group(
             settings=settings,
@@ -109,6 +111,7 @@
         if isinstance(body, SetConfiguration):
             event, self.configured = self.configured, asyncio.Event()
             event.set()
+            self.telemetry.version.put(self.replica.state.version)
 
     async def _lead(self) -> None:
         """Run the leader's work whenever this member leads."""
@@ -120,7 +123,9 @@
                     settings=self.settings,
                     clock=self.clock,
                     wall=self.wall,
+                    telemetry=self.telemetry,
                 )
+                self.telemetry.terms.add()
                 self.leader = leader
                 task = asyncio.create_task(leader.run())
                 while self._still_leads(leader) and not task.done():
@@ -147,7 +152,11 @@
         """Answer a call here if this member leads, else through the leader."""
         leader = self.leader
         if leader is not None and leader.may_order():
+            begun_s = self.clock.age_s()
             reply: CallReply = await self.handlers[type(body)](body)
+            name = type(body).__name__
+            self.telemetry.calls.add(f'{name}:{reply.verdict.value}')
+            self.telemetry.call_s.observe(self.clock.age_s() - begun_s, name)
             return reply
         target = self.replica.leader_instance()
         if forwarded or target is None or target == self.settings.address:
--- a/mangotrail/graphs/entry.py
+++ b/mangotrail/graphs/entry.py
@@ -16,6 +16,7 @@
 from mangotrail._struct import FrozenStruct
 from mangotrail.clock import Clock
 from mangotrail.graphs.channels import Channels
+from mangotrail.graphs.telemetry import Telemetry
 from mangotrail.ids import InstanceId
 
 # An instance that does not answer within this time is passed over: several
@@ -65,6 +66,7 @@
         self.turn = 0
         self.configuration: Configuration | None = None
         self.contact_s = float('-inf')
+        self.telemetry = Telemetry()
 
     @property
     def is_ready(self) -> bool:
@@ -93,9 +95,12 @@
         :param until_s: reading of the clock at which to give up.
         """
         may_have_run = False
+        begun_s = self.clock.age_s()
+        name = type(body).__name__
         while True:
             left_s = until_s - self.clock.age_s()
             if left_s <= 0:
+                self.telemetry.calls.add(f'{name}:unsettled')
                 return Outcome(reply=None, may_have_run=may_have_run)
             target = self._target()
             reply = await self.channels.call(
@@ -103,6 +108,10 @@
             )
             if reply is not None and reply.verdict in SETTLING:
                 self._trust(target, reply)
+                self.telemetry.calls.add(f'{name}:{reply.verdict.value}')
+                self.telemetry.call_s.observe(
+                    self.clock.age_s() - begun_s, name
+                )
                 return Outcome(reply=reply, may_have_run=may_have_run)
             if reply is None or reply.verdict is Verdict.UNDECIDED:
                 may_have_run = True
@@ -133,6 +142,7 @@
         held = self.configuration.version if self.configuration else -1
         if configuration.version > held:
             self.configuration = configuration
+            self.telemetry.version.put(configuration.version)
             logger.info('Configuration {} in force', configuration.version)
 
     def _target(self) -> InstanceId:
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -33,7 +33,8 @@
     idle_workers,
     stalled_runs,
 )
-from mangotrail.graphs.worker_port import WorkerPorts
+from mangotrail.graphs.telemetry import Telemetry
+from mangotrail.graphs.worker_port import StartAnswer, WorkerPorts
 from mangotrail.ids import JobId, LifeId, WorkerId
 
 # Plans are made at most this often, so that events that come together are
@@ -61,7 +62,9 @@
         settings: GraphSettings,
         clock: Clock,
         wall: 'WallClock',
+        telemetry: Telemetry,
     ) -> None:
+        self.telemetry = telemetry
         self.replica = replica
         self.state = replica.state
         self.ports = ports
@@ -115,6 +118,7 @@
 
     def judge(self, session: Session, end: RunEnd) -> None:
         """Take an end as evidence for or against the worker."""
+        self.telemetry.ends.add(end.end.value)
         life = session.worker.life
         if end.end is EndKind.DONE:
             self.suspicion.succeed(life)
@@ -140,6 +144,10 @@
             logger.warning('Term {} is over for a worker', self.term)
         self.is_aside = True
 
+    def count_answer(self, answer: StartAnswer) -> None:
+        """Count the answer to an order."""
+        self.telemetry.orders.add(answer.value)
+
     def replan(self) -> None:
         """Make a plan soon."""
         self.wake.set()
@@ -148,6 +156,7 @@
 
     async def commit(self, body: GraphCommandBody) -> Any:
         """Propose a command; None if it is not known to be committed."""
+        begun_s = self.clock.age_s()
         try:
             result = await self.replica.propose(body, self.wall_ms())
         except MangotrailError as error:
@@ -155,6 +164,7 @@
                 'Command {} was not committed: {}', type(body).__name__, error
             )
             return None
+        self.telemetry.commit_s.observe(self.clock.age_s() - begun_s)
         self.replan()
         return result
 
@@ -303,6 +313,10 @@
             for session in self.sessions.values()
             for task, held in session.runs.items()
         }
+        usable = sum(slot.is_open for slot in slots.values())
+        self.telemetry.workers.put(usable, 'open')
+        self.telemetry.workers.put(len(slots) - usable, 'closed')
+        self.telemetry.runs.put(len(self.state.runs))
         return Planner(
             state=self.state,
             slots=slots,
@@ -341,6 +355,9 @@
             start.run,
             session.worker.worker,
         )
+        if start.run == 1:
+            waited_ms = self.wall_ms() - job.accepted_ms
+            self.telemetry.start_wait_s.observe(waited_ms / 1000)
         session.order(
             start, job.graph.payload, step.checkpoint(start.task.index)
         )
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -28,9 +28,6 @@
 # What a stopped run loses that saves its progress when it is stopped: the
 # stop itself (up to 0.4 s) and the time to resume (up to 0.6 s).
 SAVED_LOSS_S = 0.8
-# A unit that has used up this share of the time that it can wait may stop
-# work of lower priority.
-PRESSING_SHARE = 0.35
 
 UnitKey = tuple[JobId, int, int]
 
@@ -119,12 +116,6 @@
             + queue.target_latency_ms
         )
 
-    def is_pressing(self, now_ms: int) -> bool:
-        """Whether the job is late unless it starts soon."""
-        latest_ms = self.objective_ms() - chain_ms(self.job.graph.steps)
-        slack_ms = latest_ms - (now_ms - self.waited_ms)
-        return self.waited_ms > PRESSING_SHARE * slack_ms
-
     def start(self, index: int, life: LifeId) -> RunStart:
         """Return the start of a task on a worker."""
         task = TaskKey(
@@ -369,7 +360,7 @@
                 for index, slot in zip(unit.indices, chosen, strict=True):
                     self.start(unit, index, slot)
                 return
-        if unit.is_urgent or unit.is_pressing(self.now_ms):
+        if unit.is_urgent:
             self.make_room(unit)
 
     def place_tasks(self, unit: Unit) -> None:
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -126,6 +126,10 @@
     def step_aside(self) -> None:
         """Give up leading, because a later leader was seen."""
 
+    @abstractmethod
+    def count_answer(self, answer: StartAnswer) -> None:
+        """Count the answer to an order."""
+
     @abstractmethod
     def replan(self) -> None:
         """Look for runs to start soon."""
@@ -366,6 +370,7 @@
                 self.owner.step_aside()
                 return
             answer, clock_ms = await self.port.start(order)
+        self.owner.count_answer(answer)
         now_s = self.owner.clock.age_s()
         if answer is StartAnswer.STARTED:
             held.since_s = now_s
--- /dev/null
+++ b/mangotrail/graphs/telemetry.py
@@ -0,0 +1,177 @@
+"""Counters, gauges and latency histograms, served as text.
+
+The text is the exposition format of Prometheus. Its client library takes
+3.7 MB more in each process, which the small instances cannot spare.
+"""
+
+from bisect import bisect_left
+from collections.abc import Iterator
+from http import HTTPStatus
+
+from mangotrail.lean_http import (
+    HttpRequest,
+    HttpResponse,
+    LeanServer,
+    ServerLimits,
+)
+
+METRICS_PATH = '/metrics'
+# Upper bounds in seconds: a commit takes 0.02 s, a caller waits up to 3 s.
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+
+class Metric:
+    """One metric; each value of its label counts by itself.
+
+    :param name: name with its unit.
+    :param label: name of the label, empty for none.
+    """
+
+    kind = ''
+
+    def __init__(self, name: str, description: str, label: str = '') -> None:
+        self.name = name
+        self.description = description
+        self.label = label
+        self.values: dict[str, float] = {}
+
+    def lines(self) -> Iterator[str]:
+        """Yield the lines of the metric."""
+        yield f'# HELP {self.name} {self.description}'
+        yield f'# TYPE {self.name} {self.kind}'
+        for value in sorted(self.values):
+            yield f'{self.name}{self.tags(value)} {self.values[value]:g}'
+
+    def tags(self, value: str, more: str = '') -> str:
+        """Return the label of a sample in braces."""
+        parts = [f'{self.label}="{value}"'] if self.label else []
+        if more:
+            parts.append(more)
+        return f'{{{",".join(parts)}}}' if parts else ''
+
+
+class Count(Metric):
+    """A number that only grows."""
+
+    kind = 'counter'
+
+    def add(self, value: str = '', amount: float = 1) -> None:
+        """Count."""
+        self.values[value] = self.values.get(value, 0) + amount
+
+
+class Level(Metric):
+    """A number that goes up and down."""
+
+    kind = 'gauge'
+
+    def put(self, amount: float, value: str = '') -> None:
+        """Set the number."""
+        self.values[value] = amount
+
+
+class Latency(Metric):
+    """A histogram of durations in seconds."""
+
+    kind = 'histogram'
+
+    def __init__(self, name: str, description: str, label: str = '') -> None:
+        super().__init__(name, description, label)
+        self.counts: dict[str, list[int]] = {}
+
+    def observe(self, seconds: float, value: str = '') -> None:
+        """Take in one duration."""
+        counts = self.counts.setdefault(value, [0] * (len(BUCKETS_S) + 1))
+        counts[bisect_left(BUCKETS_S, seconds)] += 1
+        self.values[value] = self.values.get(value, 0) + seconds
+
+    def lines(self) -> Iterator[str]:
+        """Yield buckets, sum and count."""
+        yield f'# HELP {self.name} {self.description}'
+        yield f'# TYPE {self.name} {self.kind}'
+        for value, counts in sorted(self.counts.items()):
+            total = 0
+            for bound, count in zip((*BUCKETS_S, '+Inf'), counts, strict=True):
+                total += count
+                tags = self.tags(value, f'le="{bound}"')
+                yield f'{self.name}_bucket{tags} {total}'
+            tags = self.tags(value)
+            yield f'{self.name}_sum{tags} {self.values[value]:g}'
+            yield f'{self.name}_count{tags} {total}'
+
+
+class Telemetry:
+    """All metrics of one process that serves jobs made of steps."""
+
+    def __init__(self) -> None:
+        self.calls = Count(
+            'mangotrail_calls_total', 'Calls by kind and verdict.', 'call'
+        )
+        self.call_s = Latency(
+            'mangotrail_call_seconds', 'Time until a call is settled.', 'call'
+        )
+        self.commit_s = Latency(
+            'mangotrail_commit_seconds', 'Time until a command is applied.'
+        )
+        self.ends = Count(
+            'mangotrail_run_ends_total', 'Ends of runs by kind.', 'end'
+        )
+        self.orders = Count(
+            'mangotrail_orders_total', 'Starts ordered, by answer.', 'answer'
+        )
+        self.start_wait_s = Latency(
+            'mangotrail_start_wait_seconds',
+            'Time from acceptance of a job to the order of each first run.',
+        )
+        self.terms = Count(
+            'mangotrail_terms_led_total', 'Times that this member led.'
+        )
+        self.workers = Level(
+            'mangotrail_workers', 'Workers by whether runs may start.', 'state'
+        )
+        self.runs = Level('mangotrail_runs', 'Runs that occupy workers.')
+        self.version = Level(
+            'mangotrail_configuration_version', 'Configuration in force.'
+        )
+
+    def text(self) -> str:
+        """Return all metrics as text."""
+        lines: list[str] = []
+        for metric in vars(self).values():
+            lines.extend(metric.lines())
+        return '\n'.join([*lines, ''])
+
+
+class TelemetryServer:
+    """Serves the metrics of a process.
+
+    :param address: host and port; nothing is served if it is empty.
+    """
+
+    def __init__(self, telemetry: Telemetry, address: str) -> None:
+        self.telemetry = telemetry
+        self.address = address
+        self.server = LeanServer(self.answer, ServerLimits())
+
+    async def open(self) -> None:
+        """Listen.
+
+        :raises OSError: if the address is taken.
+        """
+        if self.address:
+            host, _, port = self.address.rpartition(':')
+            await self.server.open(host, int(port))
+
+    def close(self) -> None:
+        """Stop listening."""
+        self.server.close()
+
+    async def answer(self, request: HttpRequest) -> HttpResponse:
+        """Return the metrics."""
+        if request.path != METRICS_PATH:
+            return HttpResponse(status=HTTPStatus.NOT_FOUND)
+        return HttpResponse(
+            status=HTTPStatus.OK,
+            body=self.telemetry.text().encode(),
+            content_type='text/plain; version=0.0.4',
+        )
--- a/mangotrail/logs.py
+++ b/mangotrail/logs.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from mangotrail._settings import LogFormat, LogSettings
+from mangotrail.bounded_log import BoundedSink
 from mangotrail.ids import AccountId, EndpointId, InstanceId, RequestId
 
 if TYPE_CHECKING:
@@ -41,7 +42,7 @@
     instance: InstanceId,
     process: str,
     *,
-    sink: TextIO | None = None,
+    sink: TextIO | BoundedSink | None = None,
 ) -> None:
     """Replace every log handler of this process by one.
 
--- /dev/null
+++ b/tests/test_bounded_log.py
@@ -0,0 +1,76 @@
+"""Guards against logs that hold up requests or fill disks."""
+
+import os
+
+import msgspec
+
+from mangotrail.bounded_log import MAX_LINE_BYTES, BoundedSink
+from mangotrail.clock import ManualClock
+
+LIMIT = 10
+
+
+def line(message: str, module: str = 'somewhere') -> str:
+    """Return a line as the JSON format writes it."""
+    fields = {'module': module, 'message': message}
+    return f'{msgspec.json.encode(fields).decode()}\n'
+
+
+class Pipe:
+    """A pipe and the sink that writes into it."""
+
+    def __init__(self) -> None:
+        self.reading, self.writing = os.pipe()
+        self.clock = ManualClock(now_s=100)
+        self.sink = BoundedSink(
+            self.writing, clock=self.clock, lines_per_s=LIMIT
+        )
+
+    def read(self) -> list[str]:
+        """Return the lines in the pipe."""
+        os.set_blocking(self.reading, False)
+        data = b''
+        try:
+            while chunk := os.read(self.reading, 1 << 16):
+                data += chunk
+        except BlockingIOError:
+            pass
+        return data.decode().splitlines()
+
+
+class TestBoundedSink:
+    """Lines that are left out."""
+
+    def test_reader_that_stops(self) -> None:
+        """A full pipe costs lines and no time, and they are counted."""
+        pipe = Pipe()
+        long = 'x' * 3000
+        for number in range(200):
+            pipe.sink.write(line(f'{number} {long}', f'module-{number}'))
+        assert pipe.sink.blocked > 100
+        assert len(pipe.read()) + pipe.sink.blocked == 200
+        pipe.clock.advance(2)
+        pipe.sink.write(line('again'))
+        told, again = pipe.read()
+        assert msgspec.json.decode(told)['blocked'] > 100
+        assert 'again' in again
+
+    def test_flood_of_one_kind(self) -> None:
+        """A flood is cut to the rate; other kinds are written all the same."""
+        pipe = Pipe()
+        for number in range(500):
+            pipe.sink.write(line(f'Refused job {number}'))
+        pipe.sink.write(line('Leading in term 3'))
+        lines = pipe.read()
+        assert len(lines) == LIMIT + 1
+        pipe.clock.advance(2)
+        pipe.sink.write(line('Refused job 501'))
+        told = msgspec.json.decode(pipe.read()[0])
+        assert told['too_many'] == {'somewhere Refused': 490}
+
+    def test_long_line(self) -> None:
+        """A line is cut to what a pipe takes whole."""
+        pipe = Pipe()
+        pipe.sink.write(line('y' * 10_000))
+        (written,) = pipe.read()
+        assert len(written) == MAX_LINE_BYTES - 1
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -23,6 +23,7 @@
 from mangotrail.graphs.leader import GraphLeader, WallClock
 from mangotrail.graphs.planning import URGENT as URGENT_PRIORITY
 from mangotrail.graphs.records import StepState
+from mangotrail.graphs.telemetry import Telemetry
 from mangotrail.ids import JobId
 from tests.graph_fakes import (
     NORMAL,
@@ -77,6 +78,7 @@
             settings=SETTINGS,
             clock=self.clock,
             wall=WallClock(self.clock),
+            telemetry=Telemetry(),
         )
         self.task = asyncio.create_task(self.leader.run())
 
--- /dev/null
+++ b/tests/test_lean_http.py
@@ -0,0 +1,136 @@
+"""Guards against crossed answers, stuck connections and unbounded input."""
+
+import asyncio
+
+import pytest
+
+from mangotrail.lean_http import (
+    HttpRequest,
+    HttpResponse,
+    LeanClient,
+    LeanServer,
+    RequestFailure,
+    ServerLimits,
+)
+
+HOST = '127.0.0.1'
+
+
+async def echo(request: HttpRequest) -> HttpResponse | None:
+    """Return the body, late or not at all if the path says so."""
+    if request.path == '/slow':
+        await asyncio.sleep(0.3)
+    if request.path == '/none':
+        return None
+    if request.path == '/fault':
+        raise RuntimeError('a fault of the handler')
+    return HttpResponse(status=200, body=request.body)
+
+
+class Place:
+    """A server and a client."""
+
+    def __init__(self) -> None:
+        self.server = LeanServer(
+            echo, ServerLimits(body_bytes=1000, header_bytes=500, idle_s=0.2)
+        )
+
+    async def open(self) -> LeanClient:
+        """Listen and return the client."""
+        await self.server.open(HOST, 0)
+        port = self.server.server.sockets[0].getsockname()[1]
+        return LeanClient(host=HOST, port=port, headers={})
+
+    async def raw(self, port: int, sent: bytes) -> bytes:
+        """Send bytes and return all that comes until the end."""
+        reader, writer = await asyncio.open_connection(HOST, port)
+        writer.write(sent)
+        async with asyncio.timeout(2):
+            received = await reader.read()
+        writer.close()
+        return received
+
+
+@pytest.fixture
+def place() -> Place:
+    """Return a server that is not open yet."""
+    return Place()
+
+
+class TestClient:
+    """Requests of the client."""
+
+    async def test_connection_is_kept(self, place: Place) -> None:
+        """Requests in a row use one connection."""
+        client = await place.open()
+        for number in range(3):
+            answer = await client.request('POST', '/', b'%d' % number, 1)
+            assert answer.body == b'%d' % number
+        assert len(place.server.connections) == 1
+
+    async def test_late_answer_is_not_taken_for_the_next(
+        self, place: Place
+    ) -> None:
+        """A connection with an answer outstanding is not used again."""
+        client = await place.open()
+        slow = await client.request('POST', '/slow', b'first', 0.05)
+        assert slow is RequestFailure.NO_RESPONSE
+        answer = await client.request('POST', '/', b'second', 1)
+        assert answer.body == b'second'
+
+    async def test_nothing_listens(self, place: Place) -> None:
+        """An address where nothing listens is told from a silent one."""
+        client = await place.open()
+        place.server.close()
+        await place.server.server.wait_closed()
+        answer = await client.request('POST', '/', b'', 1)
+        assert answer is RequestFailure.REFUSED
+
+    @pytest.mark.parametrize('path', ['/none', '/fault'])
+    async def test_broken_off(self, place: Place, path: str) -> None:
+        """A request without an answer ends at once, and the next works."""
+        client = await place.open()
+        answer = await client.request('POST', path, b'', 1)
+        assert answer is RequestFailure.NO_RESPONSE
+        assert (await client.request('POST', '/', b'x', 1)).body == b'x'
+
+
+class TestServer:
+    """What clients may send."""
+
+    async def test_pipelined(self, place: Place) -> None:
+        """Requests that come together are answered in order."""
+        client = await place.open()
+        head = b'POST /%s HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n%s'
+        sent = head % (b'slow', b'a') + head % (b'', b'b')
+        received = await place.raw(client.port, sent)
+        assert received.index(b'\r\n\r\na') < received.index(b'\r\n\r\nb')
+
+    @pytest.mark.parametrize(
+        'sent',
+        [
+            b'nonsense\r\n\r\n',
+            b'GET / HTTP/1.1\r\nx: %s\r\n\r\n' % (b'y' * 600),
+            b'POST / HTTP/1.1\r\nContent-Length: 2000\r\n\r\n%s'
+            % (b'z' * 2000),
+        ],
+    )
+    async def test_refused(self, place: Place, sent: bytes) -> None:
+        """What is malformed or too large gets a 400 and the end."""
+        client = await place.open()
+        received = await place.raw(client.port, sent)
+        assert received.startswith(b'HTTP/1.1 400 ')
+
+    async def test_idle(self, place: Place) -> None:
+        """A connection without a request is closed in time."""
+        client = await place.open()
+        assert await place.raw(client.port, b'') == b''
+
+    async def test_draining(self, place: Place) -> None:
+        """A server that drains answers and then closes."""
+        client = await place.open()
+        place.server.drain()
+        sent = b'GET /slow HTTP/1.1\r\nHost: x\r\n\r\n'
+        received = await place.raw(client.port, sent)
+        assert received.startswith(b'HTTP/1.1 200 ')
+        assert b'Connection: close' in received
--- /dev/null
+++ b/tests/test_platform_folder.py
@@ -0,0 +1,415 @@
+"""Guards against wrong answers at the border to the users' platform."""
+
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+ROOT = Path(__file__).parent.parent
+sys.path.append(str(ROOT / 'platform'))
+
+from client_api import ClientApi  # noqa: E402
+from mangotrail._graphs import (  # noqa: E402
+    CallBody,
+    CallReply,
+    Configuration,
+    EndKind,
+    JobPhase,
+    Submit,
+    Verdict,
+)
+from mangotrail.clock import ManualClock  # noqa: E402
+from mangotrail.graphs.entry import Outcome  # noqa: E402
+from mangotrail.ids import AccountId, JobId, QueueId, WorkerId  # noqa: E402
+from mangotrail.lean_http import HttpRequest  # noqa: E402
+from operator_api import OperatorApi  # noqa: E402
+from tests.graph_fakes import SETTINGS  # noqa: E402
+from wire import (  # noqa: E402
+    Invalid,
+    WireHeartbeat,
+    WireJob,
+    is_job_id,
+    read_configuration,
+    read_ends,
+    read_running,
+    read_task,
+    task_name,
+)
+
+ID = '5c0e7a21d94b36f8'
+ROUTE: dict[str, Any] = {
+    'name': 'r-1',
+    'host': 'a.example',
+    'path_prefix': '/jobs/',
+    'service': 's-1',
+    'timeout_ms': 3000,
+    'priority': 0,
+    'max_attempts': 2,
+    'stretch': 1.5,
+}
+DOCUMENT: dict[str, Any] = {
+    'version': 7,
+    'routes': [ROUTE, ROUTE | {'name': 'r-2', 'path_prefix': '/jobs/deep/'}],
+    'services': [{'name': 's-1'}],
+    'limits': {'max_body_bytes': 5000},
+    'tenants': [
+        {'name': 't-1', 'api_keys': ['k1', 'k2'], 'guaranteed': {'gpu': 32}},
+        {'name': 't-2', 'api_keys': ['k3']},
+    ],
+    'unknown': 'is ignored',
+}
+BEAT: dict[str, Any] = {
+    'service': 's-1',
+    'address': '10.1.2.3:80',
+    'zone': 'a',
+    'version': 'v1',
+    'slots': 8,
+    'phase': 'ready',
+    'cold_remaining_ms': 0,
+    'capacity': {'cpu': 16000, 'mem_mb': 1024, 'gpu': 8},
+    'labels': ['kind', 'r1-3'],
+    'sequence': 4,
+    'born': 1_700_000_000_000,
+}
+
+
+def encode(document: Any, **changes: Any) -> bytes:
+    """Return a document with changes as JSON."""
+    return msgspec.json.encode(document | changes)
+
+
+def accepted() -> Configuration:
+    """Return the configuration under test."""
+    return read_configuration(encode(DOCUMENT))
+
+
+class TestFolder:
+    """The folder and the standard library's module of the same name."""
+
+    def test_standard_module_wins(self) -> None:
+        """``import platform`` still finds the standard module."""
+        code = 'import platform; print(platform.python_version())'
+        done = subprocess.run(
+            [sys.executable, '-c', code],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert done.stdout.startswith('3.')
+
+    def test_deploy_file(self) -> None:
+        """The programs that the deploy file names exist."""
+        text = (ROOT / 'deploy/system.toml').read_text()
+        for role in tomllib.loads(text)['roles'].values():
+            assert (ROOT / role['run'].split()[1]).exists()
+
+    def test_names_stay_inside(self) -> None:
+        """The product does not know the names of the platform."""
+        for path in (ROOT / 'mangotrail').rglob('*.py'):
+            text = path.read_text()
+            for name in ('acked_through', 'heartbeat_endpoint', 'api_keys'):
+                assert name not in text, path
+
+
+class TestConfigurations:
+    """Configurations that operators send."""
+
+    def test_valid(self) -> None:
+        """The parts arrive under the product's names."""
+        held = accepted()
+        assert held.version == 7
+        assert held.queues[0].max_attempts == 2
+        assert held.accounts[0].guaranteed_accelerators == 32
+        assert held.document == encode(DOCUMENT)
+
+    @pytest.mark.parametrize(
+        'broken',
+        [
+            encode(DOCUMENT)[:-9],
+            b'\xff\xfe',
+            b'[]',
+            encode(DOCUMENT, version='7'),
+            encode(DOCUMENT, services=[]),
+            encode(DOCUMENT, routes=[ROUTE, ROUTE | {'name': 'r-2'}]),
+            encode(DOCUMENT, routes=[ROUTE | {'timeout_ms': 0}]),
+            encode(
+                DOCUMENT,
+                tenants=[
+                    {'name': 't-1', 'api_keys': ['k']},
+                    {'name': 't-2', 'api_keys': ['k']},
+                ],
+            ),
+        ],
+    )
+    def test_invalid(self, broken: bytes) -> None:
+        """What cannot be read or contradicts itself is refused."""
+        with pytest.raises(msgspec.MsgspecError):
+            read_configuration(broken)
+
+
+class TestWorkers:
+    """What workers say."""
+
+    def test_heartbeat(self) -> None:
+        """A life is told by id and birth, the rack by the last label."""
+        wire = msgspec.convert(BEAT, WireHeartbeat)
+        beat = wire.to_product(WorkerId('i-1'))
+        assert beat.worker.life == 'i-1@1700000000000'
+        assert beat.worker.rack == 'r1-3'
+        assert not beat.draining
+
+    @pytest.mark.parametrize(
+        'changes',
+        [
+            {'phase': 'resting'},
+            {'capacity': None},
+            {'born': '1'},
+            {'address': 'nowhere'},
+            {'sequence': -1},
+        ],
+    )
+    def test_other_writers(self, changes: dict[str, Any]) -> None:
+        """A heartbeat with a field of another type names no worker."""
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.convert(BEAT | changes, WireHeartbeat).to_product(
+                WorkerId('i-1')
+            )
+
+    def test_listing(self) -> None:
+        """Rows with and without the fifth entry are read."""
+        name = f'{ID}.0.1.17'
+        (run,) = read_running([[name, 2, 'saved', 40]])
+        assert (run.run, run.checkpoint, run.usage) == (2, 'saved', None)
+        (run,) = read_running([[name, 2, '', 40, 0]])
+        assert run.usage == 0
+        (end,) = read_ends([[58, name, 1, 'alone', '']])
+        assert (end.number, end.end) == (58, EndKind.ALONE)
+        assert task_name(read_task(name)) == name
+
+    @pytest.mark.parametrize('name', ['x', f'{ID}.0.1', f'{ID}.0.1.x'])
+    def test_strange_tasks(self, name: str) -> None:
+        """A name that stands for no task is refused."""
+        with pytest.raises(Invalid):
+            read_task(name)
+
+
+class TestJobs:
+    """Jobs that callers hand in."""
+
+    def test_decoded(self) -> None:
+        """Omitted fields are zero, and later steps wait for earlier ones."""
+        body = {
+            'spec': 'x',
+            'steps': [
+                {'count': 4, 'cpu': 500, 'requires': 'a', 'gang': True},
+                {'count': 2, 'after': [0], 'anti_affinity': 1},
+            ],
+        }
+        wire = msgspec.convert(body, WireJob)
+        graph = wire.to_product(JobId(ID), QueueId('r-1'), AccountId('t-1'))
+        assert graph.steps[0].label == 'a'
+        assert graph.steps[1].per_worker_limit == 1
+        assert not graph.occurrences
+
+    @pytest.mark.parametrize(
+        'body',
+        [
+            {'steps': []},
+            {'steps': [{'count': 0}]},
+            {'steps': [{'count': 1, 'after': [0]}]},
+            {'steps': [{'count': 100_000}]},
+            {'steps': [{'count': 1}], 'spec': 'x' * 4001},
+        ],
+    )
+    def test_refused(self, body: dict[str, Any]) -> None:
+        """What cannot be a job is refused."""
+        with pytest.raises(msgspec.ValidationError):
+            msgspec.convert(body, WireJob).to_product(
+                JobId(ID), QueueId('r-1'), AccountId('t-1')
+            )
+
+    def test_ids(self) -> None:
+        """An id has sixteen hexadecimal digits."""
+        assert is_job_id(ID)
+        assert not is_job_id(ID[:-1])
+        assert not is_job_id(f'{ID[:-1]}g')
+
+
+class FakeEntry:
+    """Entry whose calls end as the test says."""
+
+    def __init__(self) -> None:
+        self.configuration: Configuration | None = accepted()
+        self.calls: list[CallBody] = []
+        self.reply: CallReply | None = CallReply(number=0, verdict=Verdict.OK)
+        self.may_have_run = False
+
+    async def call(self, body: CallBody, *, until_s: float) -> Outcome:
+        """Note the call."""
+        self.calls.append(body)
+        return Outcome(reply=self.reply, may_have_run=self.may_have_run)
+
+
+class Caller:
+    """A caller of an entry instance."""
+
+    def __init__(self) -> None:
+        self.entry = FakeEntry()
+        self.api = ClientApi(entry=self.entry, clock=ManualClock())
+
+    async def send(
+        self,
+        method: str,
+        path: str = f'/jobs/{ID}',
+        *,
+        body: bytes = b'{"steps":[{"count":1}]}',
+        **headers: str,
+    ) -> Any:
+        """Send a request with a key."""
+        fields = {'host': 'A.example:80', 'api-key': 'k1'} | {
+            name.replace('_', '-'): value for name, value in headers.items()
+        }
+        return await self.api.handle(
+            HttpRequest(method=method, path=path, headers=fields, body=body)
+        )
+
+    async def status(self, *parts: str, **changes: Any) -> int:
+        """Return the status of an answer."""
+        return (await self.send(*parts, **changes)).status
+
+
+@pytest.fixture
+def caller() -> Caller:
+    """Return a caller."""
+    return Caller()
+
+
+class TestClientApi:
+    """Requests of callers."""
+
+    async def test_submission(self, caller: Caller) -> None:
+        """A job reaches the leader under the account of its key."""
+        assert await caller.status('POST') == 200
+        (call,) = caller.entry.calls
+        assert isinstance(call, Submit)
+        assert (call.graph.account, call.graph.queue) == ('t-1', 'r-1')
+
+    async def test_longest_prefix(self, caller: Caller) -> None:
+        """The longest prefix decides on the queue."""
+        await caller.status('POST', f'/jobs/deep/{ID}')
+        assert caller.entry.calls[0].graph.queue == 'r-2'
+
+    async def test_refused_at_once(self, caller: Caller) -> None:
+        """What the configuration does not allow never reaches the leader."""
+        assert await caller.status('POST', '/other') == 404
+        assert await caller.status('POST', '/jobs/xyz') == 404
+        assert await caller.status('POST', host='b.example') == 404
+        assert await caller.status('POST', api_key='wrong') == 401
+        assert await caller.status('POST', body=b'{') == 400
+        assert not caller.entry.calls
+
+    async def test_no_configuration(self, caller: Caller) -> None:
+        """Without a configuration nothing is accepted or run."""
+        caller.entry.configuration = None
+        answer = await caller.send('POST')
+        assert (answer.status, answer.retry_after_s) == (503, 1)
+        assert not caller.entry.calls
+
+    async def test_unknown_is_not_a_refusal(self, caller: Caller) -> None:
+        """Only what cannot have been taken is refused as not run."""
+        caller.entry.reply = None
+        assert await caller.status('POST') == 503
+        caller.entry.may_have_run = True
+        assert await caller.status('POST') == 504
+        caller.entry.reply = CallReply(number=0, verdict=Verdict.OVERLOADED)
+        assert await caller.status('POST') == 504
+
+    async def test_phase(self, caller: Caller) -> None:
+        """A phase is told; a job that is not known is gone."""
+        caller.entry.reply = CallReply(
+            number=0, verdict=Verdict.OK, phase=JobPhase.RUNNING
+        )
+        answer = await caller.send('GET')
+        assert msgspec.json.decode(answer.body) == {'phase': 'running'}
+        caller.entry.reply = CallReply(number=0, verdict=Verdict.UNKNOWN_OBJECT)
+        assert await caller.status('GET') == 410
+        assert await caller.status('DELETE') == 410
+
+    async def test_pending(self, caller: Caller) -> None:
+        """The queue itself tells how many jobs wait."""
+        caller.entry.reply = CallReply(number=0, verdict=Verdict.OK, count=12)
+        answer = await caller.send('GET', '/jobs/')
+        assert msgspec.json.decode(answer.body) == {'pending': 12}
+
+
+class FakeControl:
+    """Control instance whose replies the test chooses."""
+
+    def __init__(self) -> None:
+        self.calls: list[CallBody] = []
+        self.reply = CallReply(number=0, verdict=Verdict.OK)
+
+    async def handle(self, body: CallBody) -> CallReply:
+        """Note the call."""
+        self.calls.append(body)
+        return self.reply
+
+
+class TestOperatorApi:
+    """Requests of operators and workers."""
+
+    async def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b'',
+        verdict: Verdict = Verdict.OK,
+    ) -> tuple[int, int]:
+        """Return the status and how many calls were made."""
+        control = FakeControl()
+        control.reply = CallReply(
+            number=0, verdict=verdict, address='10.0.0.1:80'
+        )
+        settings = msgspec.structs.replace(SETTINGS, known_zones=('a',))
+        api = OperatorApi(control=control, settings=settings)
+        answer = await api.handle(
+            HttpRequest(method=method, path=path, headers={}, body=body)
+        )
+        self.body = answer.body
+        return answer.status, len(control.calls)
+
+    async def test_configuration(self) -> None:
+        """An invalid one is refused, an unsure answer may be repeated."""
+        path = '/api/config'
+        assert await self.send('PUT', path, encode(DOCUMENT)) == (200, 1)
+        assert await self.send('PUT', path, b'{') == (400, 0)
+        for verdict in (Verdict.NOT_LEADER, Verdict.UNDECIDED):
+            held = await self.send('PUT', path, encode(DOCUMENT), verdict)
+            assert held == (503, 1)
+
+    async def test_read_needs_certainty(self) -> None:
+        """A read without a sure answer is a 503."""
+        held = await self.send('GET', '/api/config', b'', Verdict.NOT_LEADER)
+        assert held == (503, 1)
+
+    async def test_zones(self) -> None:
+        """Zones are taken out and back in; others are not known."""
+        assert await self.send('POST', '/api/evacuate/a') == (200, 1)
+        assert await self.send('DELETE', '/api/evacuate/a') == (200, 1)
+        assert await self.send('POST', '/api/evacuate/z') == (404, 0)
+
+    async def test_heartbeats(self) -> None:
+        """A heartbeat is answered with the leader's address."""
+        path = '/api/instances/i-1'
+        assert await self.send('PUT', path, encode(BEAT)) == (200, 1)
+        assert msgspec.json.decode(self.body) == {
+            'heartbeat_endpoint': '10.0.0.1:80'
+        }
+        assert await self.send('PUT', path, b'\x00\xff') == (400, 0)
+        assert await self.send('PUT', path, encode(BEAT, born=None)) == (400, 0)
+        assert await self.send('DELETE', path) == (200, 1)
