Bound what urgent jobs cost others beyond guarantees; tell why tasks wait

Change: beyond its guarantee an urgent job stops work of at most three times its own. Inside the guarantee nothing changes.

Tests: test_cost_beyond_the_guarantee.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -78,6 +78,7 @@
         self.sequences: dict[LifeId, int] = {}
         self.claims: dict[UnitKey, Claim] = {}
         self.suspicion = Suspicion()
+        self.told_waits: set[UnitKey] = set()
         self.wake = asyncio.Event()
         self.is_aside = False
 
@@ -328,6 +329,7 @@
     async def carry_out(self, plan: Plan) -> None:
         """Stop victims, number the starts and order them."""
         self.claims = dict(plan.claims)
+        self.tell_waits(plan)
         for task in plan.stops:
             start = self.state.runs.get(task)
             session = self.sessions.get(start.life) if start else None
@@ -339,6 +341,22 @@
             for start in accepted or ():
                 self.order(start)
 
+    def tell_waits(self, plan: Plan) -> None:
+        """Log what a unit lacks when it begins to wait."""
+        for wait in plan.waits:
+            if wait.unit not in self.told_waits:
+                logger.info(
+                    'Tasks wait job={} task={}.{} count={} entitled={}'
+                    ' claimed={} open_workers={} free_accelerators={}',
+                    *wait.unit,
+                    wait.tasks,
+                    wait.entitled,
+                    wait.claimed,
+                    wait.open_workers,
+                    wait.free_accelerators,
+                )
+        self.told_waits = {wait.unit for wait in plan.waits}
+
     def order(self, start: RunStart) -> None:
         """Order a run that is numbered durably."""
         job = self.state.jobs[start.task.job]
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -29,6 +29,10 @@
 # stop itself (up to 0.4 s) and the time to resume (up to 0.6 s).
 SAVED_LOSS_S = 0.8
 
+# An urgent job beyond its account's guarantee may cost others this many times
+# its own work. More would serve nobody: the same cores do the work again.
+EVICTION_RATIO = 3.0
+
 UnitKey = tuple[JobId, int, int]
 
 
@@ -50,17 +54,36 @@
     places: Sequence[tuple[int, LifeId]]
 
 
+class Wait(FrozenStruct, frozen=True, kw_only=True):
+    """Why tasks of a unit do not start now.
+
+    :param tasks: tasks that wait.
+    :param open_workers: workers of the service that take runs.
+    :param free_accelerators: accelerators free on them.
+    :param claimed: whether capacity is kept for the unit already.
+    """
+
+    unit: UnitKey
+    tasks: int
+    entitled: bool
+    claimed: bool
+    open_workers: int
+    free_accelerators: int
+
+
 class Plan(FrozenStruct, frozen=True, kw_only=True):
     """What to do next.
 
     :param starts: runs to number and order, gangs whole.
     :param stops: runs to stop because others go first.
     :param claims: capacity kept, to be given to the next planning.
+    :param waits: units that do not start whole.
     """
 
     starts: Sequence[RunStart]
     stops: Sequence[TaskKey]
     claims: Mapping[UnitKey, Claim]
+    waits: Sequence[Wait] = ()
 
 
 class Unit:
@@ -116,6 +139,12 @@
             + queue.target_latency_ms
         )
 
+    def work(self) -> float:
+        """Return the estimated work of the waiting tasks in core-seconds."""
+        spec = self.step.spec
+        seconds = spec.estimated_ms / 1000
+        return len(self.indices) * seconds * cores_of(spec)
+
     def start(self, index: int, life: LifeId) -> RunStart:
         """Return the start of a task on a worker."""
         task = TaskKey(
@@ -127,6 +156,12 @@
         return RunStart(task=task, run=self.step.next_run(index), life=life)
 
 
+def cores_of(spec: StepSpec) -> float:
+    """Return what a task occupies, in cores."""
+    need = spec.need
+    return need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
+
+
 def chain_ms(steps: Sequence[StepSpec]) -> int:
     """Return the estimated length of the longest chain of steps."""
     ends: list[int] = []
@@ -241,7 +276,36 @@
                 self.place_gang(unit)
             else:
                 self.place_tasks(unit)
-        return Plan(starts=self.starts, stops=self.stops, claims=self.claims)
+        return Plan(
+            starts=self.starts,
+            stops=self.stops,
+            claims=self.claims,
+            waits=self.waits(),
+        )
+
+    def waits(self) -> list[Wait]:
+        """Return the units that do not start whole, with what they lack."""
+        started: dict[UnitKey, int] = defaultdict(int)
+        for start in self.starts:
+            task = start.task
+            started[task.job, task.occurrence, task.step] += 1
+        return [
+            self.wait(unit, len(unit.indices) - started[unit.key])
+            for unit in self.units
+            if len(unit.indices) > started[unit.key]
+        ]
+
+    def wait(self, unit: Unit, tasks: int) -> Wait:
+        """Return what a unit lacks."""
+        slots = self.candidates(unit)
+        return Wait(
+            unit=unit.key,
+            tasks=tasks,
+            entitled=unit.entitled,
+            claimed=unit.key in self.claims,
+            open_workers=len(slots),
+            free_accelerators=sum(max(slot.accelerators, 0) for slot in slots),
+        )
 
     def occupy_runs(self) -> None:
         """Take the capacity of all runs from their workers."""
@@ -361,7 +425,7 @@
                     self.start(unit, index, slot)
                 return
         if unit.is_urgent:
-            self.make_room(unit)
+            self.make_room(unit, unit.indices)
 
     def place_tasks(self, unit: Unit) -> None:
         """Start as many tasks as fit."""
@@ -374,31 +438,35 @@
             for slot in room.choose(min(room.total, len(waiting))):
                 self.start(unit, waiting.pop(0), slot)
         if waiting and unit.is_urgent:
-            unit.indices = waiting
-            self.make_room(unit)
+            self.make_room(unit, waiting)
+
+    def make_room(self, unit: Unit, indices: Sequence[int]) -> None:
+        """Stop the runs whose loss costs least and claim their capacity.
 
-    def make_room(self, unit: Unit) -> None:
-        """Stop the runs whose loss costs least and claim their capacity."""
+        :param indices: tasks that found no room.
+        """
         best: tuple[float, list[Victim], Sequence[Slot]] | None = None
         for slots in self.rack_groups(unit):
-            found = self.eviction(unit, slots)
+            found = self.eviction(unit, slots, len(indices))
             if found is not None and (best is None or found[0] < best[0]):
                 best = found
         if best is None:
             return
-        _, victims, chosen = best
+        cost, victims, chosen = best
+        if not unit.entitled and cost > EVICTION_RATIO * unit.work():
+            return
         for victim in victims:
             self.stops.extend(victim.tasks)
         places = [
             (index, slot.worker.life)
-            for index, slot in zip(unit.indices, chosen, strict=True)
+            for index, slot in zip(indices, chosen, strict=True)
         ]
         self.claims[unit.key] = Claim(unit=unit.key, places=places)
         for slot in chosen:
             slot.take(unit.step.spec)
 
     def eviction(
-        self, unit: Unit, slots: Sequence[Slot]
+        self, unit: Unit, slots: Sequence[Slot], wanted: int
     ) -> tuple[float, list['Victim'], Sequence[Slot]] | None:
         """Return the cheapest victims on some workers that make room.
 
@@ -406,7 +474,6 @@
             if even stopping all of them leaves too little room.
         """
         spec = unit.step.spec
-        wanted = len(unit.indices)
         lives = {slot.worker.life for slot in slots}
         victims = self.victims(unit, lives)
         present = self.present[unit.key]
@@ -487,8 +554,7 @@
         if self.spec.checkpoints:
             elapsed_s = min(elapsed_s, SAVED_LOSS_S)
         need = self.spec.need
-        cores = need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
-        self.cost = elapsed_s * cores * len(tasks)
+        self.cost = elapsed_s * cores_of(self.spec) * len(tasks)
         useful = sum(home in lives for home in self.homes)
         freed = max(need.accelerators, need.memory_mb / 16_384, 1)
         self.rate = self.cost / (useful * freed)
--- a/tests/test_graph_planning.py
+++ b/tests/test_graph_planning.py
@@ -223,6 +223,23 @@
         site.submit('late', step_spec(1, 8, gang=True), urgent=True)
         assert not site.plan().stops
 
+    def test_cost_beyond_the_guarantee(self) -> None:
+        """Beyond its guarantee an urgent job waits rather than waste more."""
+        site = Site()
+        site.submit('old', step_spec(8, 8))
+        site.plan()
+        for task in site.state.runs:
+            site.runs[task] = RunInfo(started_ms=1)
+        site.now_ms = 1_000
+        gang = step_spec(2, 8, gang=True)
+        site.submit('over', gang, urgent=True, account='x')
+        assert len(site.plan().stops) == 2
+        site.now_ms = 9_000
+        site.submit('later', gang, urgent=True, account='y')
+        assert not site.plan().stops
+        site.submit('entitled', gang, urgent=True)
+        assert len(site.plan().stops) == 2
+
     def test_cheapest_victims(self) -> None:
         """What has run shortest or saves its progress is stopped first."""
         site = Site()
--- a/tests/test_platform_folder.py
+++ b/tests/test_platform_folder.py
@@ -248,6 +248,8 @@
         self.calls: list[CallBody] = []
         self.reply: CallReply | None = CallReply(number=0, verdict=Verdict.OK)
         self.may_have_run = False
+        self.leader = None
+        self.contact_s = 0.0
 
     async def call(self, body: CallBody, *, until_s: float) -> Outcome:
         """Note the call."""
