Call a run standing only when a later listing still shows it idle

Cause: a run that resumes from saved progress uses no processor for up to 0.6 s and reports the last half second.

Change: the time that counts is from the first to the newest listing that shows the run idle.

Test: test_one_listing_proves_nothing.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -249,7 +249,7 @@
         for session in self.sessions.values():
             for task, held in session.runs.items():
                 usage[task] = Usage(
-                    life=session.worker.life, idle_since_s=held.idle_since_s
+                    life=session.worker.life, idle_s=held.idle_s
                 )
                 job = self.state.jobs[task.job]
                 step = job.step(task)
@@ -258,7 +258,7 @@
                 single = 0 if step.spec.gang else task.index + 1
                 group = (task.job, task.occurrence, task.step, single)
                 groups.setdefault(group, []).append(task)
-        stalled = stalled_runs(groups.values(), usage, now_s)
+        stalled = stalled_runs(groups.values(), usage)
         for life in idle_workers(stalled, usage):
             session = self.sessions[life]
             logger.warning(
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -80,17 +80,21 @@
         self.stop_answered_s = 0.0
         self.checkpoint = ''
         self.idle_since_s: float | None = None
+        self.idle_s: float | None = None
         self.started_ms = 0
 
     def note_usage(self, usage: int | None, now_s: float) -> None:
-        """Note when the run was first seen using no processor."""
+        """Note for how long listings have shown the run using no processor."""
         warm = self.phase is RunPhase.PRESENT and (
             now_s - self.since_s >= WARM_UP_S
         )
         if usage is None or usage > 0 or not warm:
             self.idle_since_s = None
-        elif self.idle_since_s is None:
+            self.idle_s = None
+            return
+        if self.idle_since_s is None:
             self.idle_since_s = now_s
+        self.idle_s = now_s - self.idle_since_s
 
 
 class SessionOwner(ABC):
--- a/mangotrail/graphs/suspicion.py
+++ b/mangotrail/graphs/suspicion.py
@@ -21,9 +21,9 @@
 # At most this share of the workers rests at a time: with more, the cause is
 # elsewhere.
 MAX_RESTING_SHARE = 0.3
-# The use of processors is reported for the last half second, so a younger
-# run shows nothing yet.
-WARM_UP_S = 1.0
+# A run that resumes needs up to 0.6 s before it works, and the use of
+# processors is reported for the last half second.
+WARM_UP_S = 1.2
 # A run that uses no processor for this long stands still, or waits for a
 # member of its gang that does.
 STALL_S = 1.2
@@ -32,11 +32,12 @@
 class Usage(FrozenStruct, frozen=True, kw_only=True):
     """Use of processors by a run.
 
-    :param idle_since_s: when the run was first seen idle, None if it works.
+    :param idle_s: time from the first to the newest listing that shows the
+        run idle, with none between that does not; None if it works.
     """
 
     life: LifeId
-    idle_since_s: float | None
+    idle_s: float | None
 
 
 class Suspicion:
@@ -81,7 +82,6 @@
 def stalled_runs(
     groups: Iterable[Iterable[TaskKey]],
     usage: Mapping[TaskKey, Usage],
-    now_s: float,
 ) -> list[TaskKey]:
     """Return the runs that stand still.
 
@@ -94,9 +94,7 @@
         tasks = list(group)
         held = [usage.get(task) for task in tasks]
         if all(
-            use is not None
-            and use.idle_since_s is not None
-            and now_s - use.idle_since_s >= STALL_S
+            use is not None and use.idle_s is not None and use.idle_s >= STALL_S
             for use in held
         ):
             stalled.extend(tasks)
@@ -108,5 +106,5 @@
 ) -> set[LifeId]:
     """Return the workers of stalled runs on which nothing works."""
     suspects = {usage[task].life for task in stalled}
-    working = {use.life for use in usage.values() if use.idle_since_s is None}
+    working = {use.life for use in usage.values() if use.idle_s is None}
     return suspects - working
--- a/tests/test_graph_suspicion.py
+++ b/tests/test_graph_suspicion.py
@@ -1,6 +1,7 @@
 """Guards against workers that fail or hold up whatever they are given."""
 
-from mangotrail._graphs import TaskKey
+from mangotrail._graphs import RunStart, TaskKey
+from mangotrail.graphs.session import HeldRun, RunPhase
 from mangotrail.graphs.suspicion import (
     FAILURE_SPAN_S,
     REST_S,
@@ -21,9 +22,9 @@
     return TaskKey(job=JobId('job'), occurrence=0, step=0, index=index)
 
 
-def usage(life: str, idle_since_s: float | None) -> Usage:
+def usage(life: str, idle_s: float | None) -> Usage:
     """Return the usage of a run."""
-    return Usage(life=LifeId(life), idle_since_s=idle_since_s)
+    return Usage(life=LifeId(life), idle_s=idle_s)
 
 
 class TestFailures:
@@ -64,21 +65,36 @@
 
     def test_single_task(self) -> None:
         """A task that is idle for long stands still, a working one doesn't."""
-        held = {task(0): usage('a', 1.0), task(1): usage('b', None)}
         groups = [[task(0)], [task(1)]]
-        assert not stalled_runs(groups, held, 1.0 + STALL_S / 2)
-        assert stalled_runs(groups, held, 1.0 + STALL_S) == [task(0)]
+        working = usage('b', None)
+        held = {task(0): usage('a', STALL_S / 2), task(1): working}
+        assert not stalled_runs(groups, held)
+        held = {task(0): usage('a', STALL_S), task(1): working}
+        assert stalled_runs(groups, held) == [task(0)]
+
+    def test_one_listing_proves_nothing(self) -> None:
+        """A run that resumes is idle at first; only a later listing counts."""
+        start = RunStart(task=task(0), run=1, life=BAD)
+        held = HeldRun(start, RunPhase.PRESENT, 0)
+        held.note_usage(0, 1.0)
+        assert held.idle_s is None
+        held.note_usage(0, 1.5)
+        assert held.idle_s == 0
+        held.note_usage(0, 3.0)
+        assert held.idle_s >= STALL_S
+        held.note_usage(9, 3.5)
+        assert held.idle_s is None
 
     def test_gang_waits_for_one(self) -> None:
         """Members that have finished wait for one that still works."""
-        held = {task(0): usage('a', 1.0), task(1): usage('b', None)}
-        assert not stalled_runs([[task(0), task(1)]], held, 9.0)
+        held = {task(0): usage('a', 9.0), task(1): usage('b', None)}
+        assert not stalled_runs([[task(0), task(1)]], held)
 
     def test_whole_gang(self) -> None:
         """A gang with no working member has one that stands still."""
-        held = {task(0): usage('a', 1.0), task(1): usage('b', 2.0)}
+        held = {task(0): usage('a', 9.0), task(1): usage('b', STALL_S)}
         gang = [task(0), task(1)]
-        assert stalled_runs([gang], held, 2.0 + STALL_S) == gang
+        assert stalled_runs([gang], held) == gang
 
     def test_only_idle_workers(self) -> None:
         """A worker on which something works is not the cause."""
