--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -31,11 +31,12 @@
     Suspicion,
     Usage,
     idle_workers,
+    stall_groups,
     stalled_runs,
 )
 from mangotrail.graphs.telemetry import Telemetry
 from mangotrail.graphs.worker_port import StartAnswer, WorkerPorts
-from mangotrail.ids import JobId, LifeId, WorkerId
+from mangotrail.ids import LifeId, WorkerId
 
 # Plans are made at most this often, so that events that come together are
 # answered by one plan.
@@ -244,21 +245,12 @@
     def stop_stalled(self) -> None:
         """Stop what stands still, so that it starts on other workers."""
         now_s = self.clock.age_s()
-        groups: dict[tuple[JobId, int, int, int], list[TaskKey]] = {}
-        usage = {}
-        for session in self.sessions.values():
-            for task, held in session.runs.items():
-                usage[task] = Usage(
-                    life=session.worker.life, idle_s=held.idle_s
-                )
-                job = self.state.jobs[task.job]
-                step = job.step(task)
-                if step is None or step.spec.lasting or step.spec.fills:
-                    continue
-                single = 0 if step.spec.gang else task.index + 1
-                group = (task.job, task.occurrence, task.step, single)
-                groups.setdefault(group, []).append(task)
-        stalled = stalled_runs(groups.values(), usage)
+        usage = {
+            task: Usage(life=session.worker.life, idle_s=held.idle_s)
+            for session in self.sessions.values()
+            for task, held in session.runs.items()
+        }
+        stalled = stalled_runs(stall_groups(self.state, usage), usage)
         for life in idle_workers(stalled, usage):
             session = self.sessions[life]
             logger.warning(
--- a/mangotrail/graphs/suspicion.py
+++ b/mangotrail/graphs/suspicion.py
@@ -9,6 +9,7 @@
 
 from mangotrail._graphs import TaskKey
 from mangotrail._struct import FrozenStruct
+from mangotrail.graphs.state import GraphState
 from mangotrail.ids import JobId, LifeId
 
 # Failures of this many jobs, with no success between, make a worker suspect.
@@ -79,6 +80,35 @@
         return set(resting[: int(len(held) * MAX_RESTING_SHARE)])
 
 
+def stall_groups(
+    state: GraphState, tasks: Iterable[TaskKey]
+) -> list[list[TaskKey]]:
+    """Return the tasks that stand still together: single ones, whole gangs.
+
+    Left out are gangs that are done or lack a member, whose other members
+    are idle because they end, and tasks that may be idle at any time.
+    """
+    groups: dict[tuple[JobId, int, int, int], list[TaskKey]] = {}
+    for task in tasks:
+        job = state.jobs.get(task.job)
+        step = job.step(task) if job else None
+        if step is None or step.spec.lasting or step.spec.fills:
+            continue
+        single = 0 if step.spec.gang else task.index + 1
+        group = groups.setdefault(
+            (task.job, task.occurrence, task.step, single), []
+        )
+        if not step.done[task.index]:
+            group.append(task)
+    return [
+        group
+        for (job_id, occurrence, number, single), group in groups.items()
+        if single
+        or len(group)
+        == state.jobs[job_id].occurrences[occurrence][number].spec.count
+    ]
+
+
 def stalled_runs(
     groups: Iterable[Iterable[TaskKey]],
     usage: Mapping[TaskKey, Usage],
--- a/tests/test_graph_suspicion.py
+++ b/tests/test_graph_suspicion.py
@@ -9,9 +9,11 @@
     Suspicion,
     Usage,
     idle_workers,
+    stall_groups,
     stalled_runs,
 )
 from mangotrail.ids import JobId, LifeId
+from tests.graph_fakes import filled_state, graph_spec, step_spec
 
 BAD = LifeId('bad')
 OTHERS = [LifeId(f'w{number}') for number in range(9)]
@@ -96,6 +98,16 @@
         gang = [task(0), task(1)]
         assert stalled_runs([gang], held) == gang
 
+    def test_ending_gang(self) -> None:
+        """Members of a gang that ends are idle, and no worker is to blame."""
+        gang = step_spec(3, gang=True)
+        state = filled_state(graph_spec('job', gang))
+        members = [task(index) for index in range(3)]
+        assert stall_groups(state, members) == [members]
+        assert not stall_groups(state, members[:2])
+        state.jobs[JobId('job')].occurrences[0][0].finish(0)
+        assert not any(stall_groups(state, members))
+
     def test_only_idle_workers(self) -> None:
         """A worker on which something works is not the cause."""
         held = {
