Refuse jobs that need an adviser; split units and evictions from planning

Change: a job of a queue with an adviser is refused at once, truthfully, because tickets are not built; a worker that refused rests for 0.5 s. Units and evictions have modules of their own; nothing else in them changed.

--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -21,6 +21,7 @@
     ChangeZone,
     CountPending,
     GraphCommandBody,
+    GraphSpec,
     Heartbeat,
     Inspect,
     Leave,
@@ -133,8 +134,8 @@
                 self.leader = None
                 task.cancel()
                 await asyncio.wait([task])
-                if not task.cancelled() and task.exception() is not None:
-                    raise task.exception() or RuntimeError
+                if not task.cancelled():
+                    task.result()
             await asyncio.sleep(LEADERSHIP_PERIOD_S)
 
     def _still_leads(self, leader: GraphLeader) -> bool:
@@ -203,6 +204,10 @@
         held = self.replica.state.jobs.get(body.graph.job)
         if held is not None and held.graph.account == body.graph.account:
             return self.reply(Verdict.OK, reason='known')
+        if self._is_advised(body.graph):
+            return self.reply(
+                Verdict.REFUSED, reason='adviser tickets are not supported'
+            )
         reply = await self.change(SubmitGraph(graph=body.graph))
         logger.info(
             'Job submitted job={} queue={} account={} steps={} verdict={} {}',
@@ -218,6 +223,14 @@
         )
         return reply
 
+    def _is_advised(self, graph: GraphSpec) -> bool:
+        """Whether the queue of a job needs tickets of an adviser."""
+        held = self.replica.state.configuration
+        return any(
+            queue.advised and queue.queue == graph.queue
+            for queue in (held.queues if held else ())
+        )
+
     async def inspect(self, body: Inspect) -> CallReply:
         """Tell the phase of a job."""
         job = self.replica.state.jobs.get(body.job)
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -23,8 +23,9 @@
 )
 from mangotrail.clock import Clock
 from mangotrail.errors import MangotrailError
+from mangotrail.graphs.eviction import RunInfo
 from mangotrail.graphs.group import GraphReplica
-from mangotrail.graphs.planning import Claim, Plan, Planner, RunInfo, UnitKey
+from mangotrail.graphs.planning import Claim, Plan, Planner
 from mangotrail.graphs.session import RunPhase, Session, SessionOwner
 from mangotrail.graphs.slots import Slot
 from mangotrail.graphs.suspicion import (
@@ -35,6 +36,7 @@
     stalled_runs,
 )
 from mangotrail.graphs.telemetry import Telemetry
+from mangotrail.graphs.units import UnitKey
 from mangotrail.graphs.worker_port import StartAnswer, WorkerPorts
 from mangotrail.ids import LifeId, WorkerId
 
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -12,40 +12,29 @@
 
 from mangotrail._graphs import RunStart, StepSpec, TaskKey
 from mangotrail._struct import FrozenStruct
-from mangotrail.graphs.records import JobState, StepState
+from mangotrail.graphs.eviction import RunInfo, Victim
+from mangotrail.graphs.records import JobState
 from mangotrail.graphs.slots import Room, Slot, fits_empty
 from mangotrail.graphs.state import GraphState
-from mangotrail.ids import AccountId, JobId, LifeId
+from mangotrail.graphs.units import (
+    URGENT,
+    Unit,
+    UnitKey,
+    entitled_jobs,
+    waiting_units,
+)
+from mangotrail.ids import JobId, LifeId
 
-URGENT = 0
 # A task that waits for its rack this long takes another one, if the workers
 # are mostly idle: it then runs several times as long, yet it runs.
 RACK_WAIT_MS = 2_000
-# An accelerator counts as this many cores when work is weighed.
-ACCELERATOR_CORES = 8
 # Share of accelerators in use under which waiting for a rack is pointless.
 IDLE_SHARE = 0.5
-# What a stopped run loses that saves its progress when it is stopped: the
-# stop itself (up to 0.4 s) and the time to resume (up to 0.6 s).
-SAVED_LOSS_S = 0.8
 
 # An urgent job beyond its account's guarantee may cost others this many times
 # its own work. More would serve nobody: the same cores do the work again.
 EVICTION_RATIO = 3.0
 
-UnitKey = tuple[JobId, int, int]
-
-
-class RunInfo(FrozenStruct, frozen=True, kw_only=True):
-    """What the leader knows of a run that occupies a worker.
-
-    :param started_ms: Unix milliseconds of the start; 0 if not known.
-    :param stopping: whether it has been told to stop.
-    """
-
-    started_ms: int = 0
-    stopping: bool = False
-
 
 class Claim(FrozenStruct, frozen=True, kw_only=True):
     """Capacity kept for a unit until the runs in its way have ended."""
@@ -86,156 +75,6 @@
     waits: Sequence[Wait] = ()
 
 
-class Unit:
-    """Tasks of one step of one occurrence that may start.
-
-    :param indices: tasks that wait; all tasks of a gang.
-    """
-
-    __slots__ = (
-        'entitled',
-        'indices',
-        'job',
-        'key',
-        'occurrence',
-        'step',
-        'step_number',
-        'waited_ms',
-    )
-
-    def __init__(
-        self,
-        *,
-        job: JobState,
-        occurrence: int,
-        step_number: int,
-        step: StepState,
-        indices: Sequence[int],
-    ) -> None:
-        self.job = job
-        self.occurrence = occurrence
-        self.step_number = step_number
-        self.step = step
-        self.indices = indices
-        self.key: UnitKey = (job.graph.job, occurrence, step_number)
-        self.entitled = False
-        self.waited_ms = 0
-
-    @property
-    def is_urgent(self) -> bool:
-        """Whether the queue comes before all others."""
-        return self.job.queue.priority == URGENT
-
-    def objective_ms(self) -> float:
-        """Return the Unix milliseconds by which the job should be done."""
-        queue = self.job.queue
-        graph = self.job.graph
-        begin_ms = self.job.accepted_ms
-        if graph.occurrences:
-            begin_ms = self.job.due_ms(self.occurrence)
-        return (
-            begin_ms
-            + queue.stretch * chain_ms(graph.steps)
-            + queue.target_latency_ms
-        )
-
-    def work(self) -> float:
-        """Return the estimated work of the waiting tasks in core-seconds."""
-        spec = self.step.spec
-        seconds = spec.estimated_ms / 1000
-        return len(self.indices) * seconds * cores_of(spec)
-
-    def start(self, index: int, life: LifeId) -> RunStart:
-        """Return the start of a task on a worker."""
-        task = TaskKey(
-            job=self.job.graph.job,
-            occurrence=self.occurrence,
-            step=self.step_number,
-            index=index,
-        )
-        return RunStart(task=task, run=self.step.next_run(index), life=life)
-
-
-def cores_of(spec: StepSpec) -> float:
-    """Return what a task occupies, in cores."""
-    need = spec.need
-    return need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
-
-
-def chain_ms(steps: Sequence[StepSpec]) -> int:
-    """Return the estimated length of the longest chain of steps."""
-    ends: list[int] = []
-    for step in steps:
-        begin = max((ends[earlier] for earlier in step.after), default=0)
-        ends.append(begin + step.estimated_ms)
-    return max(ends, default=0)
-
-
-def entitled_jobs(state: GraphState) -> frozenset[JobId]:
-    """Return the urgent jobs that the guarantees of their accounts cover.
-
-    Jobs count in the order of their acceptance, each with the accelerators
-    of its widest step.
-    """
-    configuration = state.configuration
-    left = {
-        account.account: account.guaranteed_accelerators
-        for account in (configuration.accounts if configuration else ())
-    }
-    chosen = []
-    for job in sorted(
-        state.jobs.values(), key=lambda job: (job.accepted_ms, job.graph.job)
-    ):
-        if job.is_live and job.queue.priority == URGENT:
-            need = max(
-                step.count * step.need.accelerators for step in job.graph.steps
-            )
-            account: AccountId = job.graph.account
-            if need <= left.get(account, 0):
-                left[account] -= need
-                chosen.append(job.graph.job)
-    return frozenset(chosen)
-
-
-def waiting_units(state: GraphState) -> list[Unit]:
-    """Return what may start, apart from what room there is."""
-    units = []
-    for job in state.jobs.values():
-        if not job.is_live:
-            continue
-        for occurrence, number, step in job.open_steps():
-            if not job.is_due(occurrence, number):
-                continue
-            occupied = [
-                TaskKey(
-                    job=job.graph.job,
-                    occurrence=occurrence,
-                    step=number,
-                    index=index,
-                )
-                in state.runs
-                for index in range(step.spec.count)
-            ]
-            if step.spec.gang and any(occupied):
-                continue
-            indices = [
-                index
-                for index in range(step.spec.count)
-                if not step.done[index] and not occupied[index]
-            ]
-            if indices:
-                units.append(
-                    Unit(
-                        job=job,
-                        occurrence=occurrence,
-                        step_number=number,
-                        step=step,
-                        indices=indices,
-                    )
-                )
-    return units
-
-
 class Planner:
     """Makes one plan.
 
@@ -467,7 +306,7 @@
 
     def eviction(
         self, unit: Unit, slots: Sequence[Slot], wanted: int
-    ) -> tuple[float, list['Victim'], Sequence[Slot]] | None:
+    ) -> tuple[float, list[Victim], Sequence[Slot]] | None:
         """Return the cheapest victims on some workers that make room.
 
         :return: cost in core-seconds, victims and a slot for each task; None
@@ -498,7 +337,7 @@
             return None
         return sum(victim.cost for victim in stopped), stopped, chosen
 
-    def victims(self, unit: Unit, lives: AbstractSet[LifeId]) -> list['Victim']:
+    def victims(self, unit: Unit, lives: AbstractSet[LifeId]) -> list[Victim]:
         """Return what may be stopped for a unit, the cheapest first."""
         groups: dict[tuple[JobId, int, int, int], list[TaskKey]] = {}
         for task in self.state.runs:
@@ -515,7 +354,9 @@
             if homes & lives and not any(
                 self.runs.get(task, RunInfo()).stopping for task in tasks
             ):
-                victims.append(Victim(self, tasks, lives))
+                victims.append(
+                    Victim(self.state, self.runs, tasks, lives, self.now_ms)
+                )
         victims.sort(key=lambda victim: (victim.rate, victim.tasks[0].job))
         return victims
 
@@ -526,47 +367,3 @@
         if job.queue.priority > unit.job.queue.priority:
             return True
         return unit.entitled and job.queue.priority == URGENT
-
-
-class Victim:
-    """Runs that are stopped together: one task, or a whole gang.
-
-    :param lives: workers where freed capacity is of use.
-    """
-
-    def __init__(
-        self,
-        planner: Planner,
-        tasks: Sequence[TaskKey],
-        lives: AbstractSet[LifeId],
-    ) -> None:
-        self.tasks = tasks
-        job = planner.state.jobs[tasks[0].job]
-        step = job.step(tasks[0])
-        assert step is not None
-        self.spec = step.spec
-        self.homes = [planner.state.runs[task].life for task in tasks]
-        started = [
-            planner.runs.get(task, RunInfo()).started_ms for task in tasks
-        ]
-        oldest_ms = min((at for at in started if at), default=planner.now_ms)
-        elapsed_s = max(planner.now_ms - oldest_ms, 100) / 1000
-        if self.spec.checkpoints:
-            elapsed_s = min(elapsed_s, SAVED_LOSS_S)
-        need = self.spec.need
-        self.cost = elapsed_s * cores_of(self.spec) * len(tasks)
-        useful = sum(home in lives for home in self.homes)
-        freed = max(need.accelerators, need.memory_mb / 16_384, 1)
-        self.rate = self.cost / (useful * freed)
-
-    def free(self, slots: Mapping[LifeId, Slot]) -> None:
-        """Give the capacity back, for a trial."""
-        for home in self.homes:
-            if home in slots:
-                slots[home].take(self.spec, -1)
-
-    def occupy(self, slots: Mapping[LifeId, Slot]) -> None:
-        """Take the capacity again."""
-        for home in self.homes:
-            if home in slots:
-                slots[home].take(self.spec)
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -45,6 +45,9 @@
 PARALLEL_ORDERS = 4
 # A worker that refused an order for being unhealthy rests this long.
 UNHEALTHY_REST_S = 2.0
+# One that refused for any other reason would be chosen again at once, in the
+# next plan.
+REFUSAL_REST_S = 0.5
 
 NEVER_STARTED_ANSWERS = frozenset((
     StartAnswer.OUTDATED_RUN,
@@ -112,10 +115,6 @@
     def wall_ms(self) -> int:
         """Return estimated Unix milliseconds."""
 
-    @abstractmethod
-    def expected_runs(self, session: 'Session') -> Sequence[RunStart]:
-        """Return the runs that may occupy the worker."""
-
     @abstractmethod
     async def end_runs(
         self, session: 'Session', ends: Sequence[RunEnd]
@@ -409,8 +408,10 @@
             held.start.run,
             answer.value,
         )
+        rest_s = REFUSAL_REST_S
         if answer is StartAnswer.UNHEALTHY:
-            self.rests_until_s = now_s + UNHEALTHY_REST_S
+            rest_s = UNHEALTHY_REST_S
+        self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
         while self._is_current(held):
             ends = [self._end_of(held, EndKind.NEVER_STARTED)]
             if await self._settle(ends):
--- /dev/null
+++ b/mangotrail/graphs/units.py
@@ -0,0 +1,164 @@
+"""Tasks that wait to start, and which of them a guarantee covers."""
+
+from collections.abc import Sequence
+
+from mangotrail._graphs import RunStart, StepSpec, TaskKey
+from mangotrail.graphs.records import JobState, StepState
+from mangotrail.graphs.state import GraphState
+from mangotrail.ids import AccountId, JobId, LifeId
+
+URGENT = 0
+# An accelerator counts as this many cores when work is weighed.
+ACCELERATOR_CORES = 8
+
+UnitKey = tuple[JobId, int, int]
+
+
+class Unit:
+    """Tasks of one step of one occurrence that may start.
+
+    :param indices: tasks that wait; all tasks of a gang.
+    """
+
+    __slots__ = (
+        'entitled',
+        'indices',
+        'job',
+        'key',
+        'occurrence',
+        'step',
+        'step_number',
+        'waited_ms',
+    )
+
+    def __init__(
+        self,
+        *,
+        job: JobState,
+        occurrence: int,
+        step_number: int,
+        step: StepState,
+        indices: Sequence[int],
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.step_number = step_number
+        self.step = step
+        self.indices = indices
+        self.key: UnitKey = (job.graph.job, occurrence, step_number)
+        self.entitled = False
+        self.waited_ms = 0
+
+    @property
+    def is_urgent(self) -> bool:
+        """Whether the queue comes before all others."""
+        return self.job.queue.priority == URGENT
+
+    def objective_ms(self) -> float:
+        """Return the Unix milliseconds by which the job should be done."""
+        queue = self.job.queue
+        graph = self.job.graph
+        begin_ms = self.job.accepted_ms
+        if graph.occurrences:
+            begin_ms = self.job.due_ms(self.occurrence)
+        return (
+            begin_ms
+            + queue.stretch * chain_ms(graph.steps)
+            + queue.target_latency_ms
+        )
+
+    def work(self) -> float:
+        """Return the estimated work of the waiting tasks in core-seconds."""
+        spec = self.step.spec
+        seconds = spec.estimated_ms / 1000
+        return len(self.indices) * seconds * cores_of(spec)
+
+    def start(self, index: int, life: LifeId) -> RunStart:
+        """Return the start of a task on a worker."""
+        task = TaskKey(
+            job=self.job.graph.job,
+            occurrence=self.occurrence,
+            step=self.step_number,
+            index=index,
+        )
+        return RunStart(task=task, run=self.step.next_run(index), life=life)
+
+
+def cores_of(spec: StepSpec) -> float:
+    """Return what a task occupies, in cores."""
+    need = spec.need
+    return need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
+
+
+def chain_ms(steps: Sequence[StepSpec]) -> int:
+    """Return the estimated length of the longest chain of steps."""
+    ends: list[int] = []
+    for step in steps:
+        begin = max((ends[earlier] for earlier in step.after), default=0)
+        ends.append(begin + step.estimated_ms)
+    return max(ends, default=0)
+
+
+def entitled_jobs(state: GraphState) -> frozenset[JobId]:
+    """Return the urgent jobs that the guarantees of their accounts cover.
+
+    Jobs count in the order of their acceptance, each with the accelerators
+    of its widest step.
+    """
+    configuration = state.configuration
+    left = {
+        account.account: account.guaranteed_accelerators
+        for account in (configuration.accounts if configuration else ())
+    }
+    chosen = []
+    for job in sorted(
+        state.jobs.values(), key=lambda job: (job.accepted_ms, job.graph.job)
+    ):
+        if job.is_live and job.queue.priority == URGENT:
+            need = max(
+                step.count * step.need.accelerators for step in job.graph.steps
+            )
+            account: AccountId = job.graph.account
+            if need <= left.get(account, 0):
+                left[account] -= need
+                chosen.append(job.graph.job)
+    return frozenset(chosen)
+
+
+def waiting_units(state: GraphState) -> list[Unit]:
+    """Return what may start, apart from what room there is."""
+    units = []
+    for job in state.jobs.values():
+        if not job.is_live:
+            continue
+        for occurrence, number, step in job.open_steps():
+            if not job.is_due(occurrence, number):
+                continue
+            occupied = [
+                TaskKey(
+                    job=job.graph.job,
+                    occurrence=occurrence,
+                    step=number,
+                    index=index,
+                )
+                in state.runs
+                for index in range(step.spec.count)
+            ]
+            if step.spec.gang and any(occupied):
+                continue
+            indices = [
+                index
+                for index in range(step.spec.count)
+                if not step.done[index] and not occupied[index]
+            ]
+            if indices:
+                units.append(
+                    Unit(
+                        job=job,
+                        occurrence=occurrence,
+                        step_number=number,
+                        step=step,
+                        indices=indices,
+                    )
+                )
+    return units
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -21,9 +21,9 @@
     TaskKey,
 )
 from mangotrail.graphs.leader import GraphLeader, WallClock
-from mangotrail.graphs.planning import URGENT as URGENT_PRIORITY
 from mangotrail.graphs.records import StepState
 from mangotrail.graphs.telemetry import Telemetry
+from mangotrail.graphs.units import URGENT as URGENT_PRIORITY
 from mangotrail.ids import JobId
 from tests.graph_fakes import (
     NORMAL,
--- a/tests/test_graph_planning.py
+++ b/tests/test_graph_planning.py
@@ -12,14 +12,11 @@
     SubmitGraph,
     TaskKey,
 )
-from mangotrail.graphs.planning import (
-    Plan,
-    Planner,
-    RunInfo,
-    entitled_jobs,
-)
+from mangotrail.graphs.eviction import RunInfo
+from mangotrail.graphs.planning import Plan, Planner
 from mangotrail.graphs.slots import Slot
 from mangotrail.graphs.state import GraphState
+from mangotrail.graphs.units import entitled_jobs
 from mangotrail.ids import AccountId, JobId
 from tests.graph_fakes import (
     NORMAL,
