Replace a session with a worker that fails by a fault of its own

Cause: a session is one task of the leader. If it ended with an error that nobody foresaw, nothing logged it and nothing took its place: the lease of the worker ended, its runs stayed on the books for ever, and an order whose task failed was never settled.

Ruled out: stepping down on such a fault, which a fault that repeats would turn into one election after the other.

Change: a failed order ends its session with SessionFaultError; the leader logs the fault, counts it and opens another session. That one takes the runs over as unsure, because the worker still obeys orders of the same term that are on their way, and stops what it does not find listed.

--- a/mangotrail/errors.py
+++ b/mangotrail/errors.py
@@ -216,6 +216,12 @@
     status = HTTPStatus.BAD_GATEWAY
 
 
+class SessionFaultError(MangotrailError):
+    """A session with a worker failed by a fault of its own."""
+
+    code = 'session_fault'
+
+
 class AnswerUnavailableError(MangotrailError):
     """The answer of a finished job is no longer kept or cannot be fetched."""
 
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -20,6 +20,7 @@
     RunStart,
     StartRuns,
     TaskKey,
+    WorkerSpec,
 )
 from mangotrail.clock import Clock
 from mangotrail.errors import MangotrailError
@@ -205,19 +206,33 @@
     def match_sessions(self) -> None:
         """Have a session for each registered life, and none for others."""
         for life, held in self.state.workers.items():
-            if life not in self.sessions:
-                session = Session(
-                    worker=held.spec,
-                    port=self.ports.open(held.spec),
-                    owner=self,
+            task = self.session_tasks.get(life)
+            if task is None:
+                self.open_session(held.spec, RunPhase.ADOPTED)
+            elif task.done() and not self.sessions[life].is_over:
+                fault = None if task.cancelled() else task.exception()
+                logger.opt(exception=fault).error(
+                    'The session with worker {} failed and is replaced',
+                    held.spec.worker,
                 )
-                session.adopt(self.expected_runs(session))
-                self.sessions[life] = session
-                self.session_tasks[life] = asyncio.create_task(session.run())
+                self.telemetry.session_faults.add()
+                self.open_session(held.spec, RunPhase.UNSURE)
         for life in set(self.sessions) - set(self.state.workers):
             self.sessions.pop(life)
             self.session_tasks.pop(life).cancel()
 
+    def open_session(self, worker: WorkerSpec, phase: RunPhase) -> None:
+        """Begin to deal with a life of a worker.
+
+        :param phase: what is known of the runs that may occupy it.
+        """
+        session = Session(
+            worker=worker, port=self.ports.open(worker), owner=self
+        )
+        session.adopt(self.expected_runs(session), phase)
+        self.sessions[worker.life] = session
+        self.session_tasks[worker.life] = asyncio.create_task(session.run())
+
     async def open_occurrences(self) -> None:
         """Make the tasks of occurrences that are due."""
         now_ms = self.wall_ms()
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -18,6 +18,7 @@
 from mangotrail._graph_settings import GraphTiming
 from mangotrail._graphs import EndKind, RunEnd, RunStart, TaskKey, WorkerSpec
 from mangotrail.clock import Clock
+from mangotrail.errors import SessionFaultError
 from mangotrail.graphs.suspicion import WARM_UP_S
 from mangotrail.graphs.worker_clock import WorkerClock
 from mangotrail.graphs.worker_port import (
@@ -168,6 +169,7 @@
         self.orders = asyncio.Semaphore(PARALLEL_ORDERS)
         self.tasks: set[asyncio.Task[None]] = set()
         self.hurry = False
+        self.fault: BaseException | None = None
 
     def is_usable(self, now_s: float) -> bool:
         """Whether runs may be started on the worker."""
@@ -178,11 +180,16 @@
             and now_s >= self.rests_until_s
         )
 
-    def adopt(self, starts: Sequence[RunStart]) -> None:
-        """Take over the runs that an earlier leader numbered."""
+    def adopt(self, starts: Sequence[RunStart], phase: RunPhase) -> None:
+        """Take over the runs that were numbered before this session.
+
+        :param phase: ``ADOPTED`` if an earlier leader ordered them, whose
+            orders the worker now refuses; ``UNSURE`` if a session of the same
+            term did, whose orders may still be carried out.
+        """
         now_s = self.owner.clock.age_s()
         for start in starts:
-            self.runs[start.task] = HeldRun(start, RunPhase.ADOPTED, now_s)
+            self.runs[start.task] = HeldRun(start, phase, now_s)
 
     def order(self, start: RunStart, payload: str, checkpoint: str) -> None:
         """Order a run that is numbered durably."""
@@ -208,9 +215,16 @@
         self._spawn(self._stop(held.start.task, held.start.run, held))
 
     async def run(self) -> None:
-        """Renew the lease until the life of the worker is over."""
+        """Renew the lease until the life of the worker is over.
+
+        :raises SessionFaultError: if an order failed by a fault of its own.
+        """
         try:
             while not self.is_over:
+                if self.fault is not None:
+                    raise SessionFaultError(
+                        f'an order to {self.worker.worker} failed'
+                    ) from self.fault
                 if not self.owner.may_order():
                     await asyncio.sleep(RETRY_S / 4)
                     continue
@@ -309,6 +323,9 @@
             held.note_usage(listed.usage, self.owner.clock.age_s())
             if held.phase in {RunPhase.ADOPTED, RunPhase.UNSURE}:
                 held.phase = RunPhase.PRESENT
+        for task, held in list(self.runs.items()):
+            if held.phase is RunPhase.UNSURE and task not in ended:
+                self.stop(task)
         ends.extend(
             self._end_of(held, EndKind.NEVER_STARTED)
             for task, held in self.runs.items()
@@ -362,7 +379,12 @@
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled():
+            self.fault = task.exception() or self.fault
 
     async def _order(self, held: HeldRun, order: StartOrder) -> None:
         async with self.orders:
--- a/mangotrail/graphs/telemetry.py
+++ b/mangotrail/graphs/telemetry.py
@@ -129,6 +129,10 @@
         self.workers = Level(
             'mangotrail_workers', 'Workers by whether runs may start.', 'state'
         )
+        self.session_faults = Count(
+            'mangotrail_session_faults_total',
+            'Sessions with workers that failed by a fault of their own.',
+        )
         self.runs = Level('mangotrail_runs', 'Runs that occupy workers.')
         self.version = Level(
             'mangotrail_configuration_version', 'Configuration in force.'
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections import defaultdict
 from random import Random
+from typing import Any
 
 import pytest
 
@@ -29,6 +30,7 @@
     NORMAL,
     SETTINGS,
     URGENT,
+    FakePort,
     FakePorts,
     FakeReplica,
     FakeWorker,
@@ -276,5 +278,47 @@
         assert len(starts) == 2
 
 
+class TestFailedSession:
+    """A session with a worker that fails by a fault of its own."""
+
+    @pytest.mark.parametrize('call', ['renew', 'start', 'stop'])
+    def test_replaced(self, call: str) -> None:
+        """Another session takes its place, and no task is lost or doubled."""
+        cluster = Cluster(seed=4, faults=0.0)
+        faults = {'left': 2}
+        original = getattr(FakePort, call)
+
+        async def fail(port: FakePort, *args: Any, **kwargs: Any) -> Any:
+            worker = port.worker()
+            failing = faults['left'] and (call == 'start' or worker.runs)
+            if failing:
+                faults['left'] -= 1
+            if not failing or faults['left']:
+                result = await original(port, *args, **kwargs)
+            if failing:
+                raise ArithmeticError('a fault of the port')
+            return result
+
+        async def play() -> None:
+            watch = asyncio.create_task(cluster.watch())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            for number in range(6):
+                apply(cluster.state, _submit(f'job-{number}', step_spec(3, 1)))
+            cluster.leader.replan()
+            await asyncio.sleep(0.5)
+            if call == 'stop':
+                apply(cluster.state, CancelGraph(job=JobId('job-0')))
+                cluster.leader.replan()
+            await asyncio.sleep(60)
+            watch.cancel()
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(FakePort, call, fail)
+            run_virtual(play(), cluster.loop)
+        assert not faults['left']
+        cluster.check()
+
+
 def _submit(name: str, *steps: StepSpec) -> SubmitGraph:
     return SubmitGraph(graph=graph_spec(name, *steps))
