--- a/mangotrail/_file_journal.py
+++ b/mangotrail/_file_journal.py
@@ -221,8 +221,13 @@
             view = view[written:]
 
     def start_segment(self, segment: int) -> None:
-        """Create a segment that begins with the hard state, durably."""
+        """Create a segment that begins with the hard state, durably.
+
+        The mark at the end of the segment before is synced first, because
+        only the end of the last segment may be torn.
+        """
         if self.segment_file >= 0:
+            os.fsync(self.segment_file)
             os.close(self.segment_file)
             self.segment_file = -1
         self.segment_file = os.open(
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -56,6 +56,7 @@
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
 LEASE_MS = 10_000
+CAPACITY = Resources(cpu_millis=32_000, memory_mb=131_072, accelerators=8)
 
 SETTINGS = GraphSettings(
     instance='core-1',
@@ -100,7 +101,13 @@
     )
 
 
-def worker_spec(number: int, *, born_ms: int = 1, rack: str = '') -> WorkerSpec:
+def worker_spec(
+    number: int,
+    *,
+    born_ms: int = 1,
+    rack: str = '',
+    capacity: Resources = CAPACITY,
+) -> WorkerSpec:
     """Return a worker with 8 accelerators; four of them share a rack."""
     rack = rack or f'rack-{number // 4}'
     return WorkerSpec(
@@ -112,9 +119,7 @@
         zone=ZoneId('ab'[number % 2]),
         labels=('kind', rack),
         rack=rack,
-        capacity=Resources(
-            cpu_millis=32_000, memory_mb=131_072, accelerators=8
-        ),
+        capacity=capacity,
     )
 
 
--- /dev/null
+++ b/tests/graph_load.py
@@ -0,0 +1,416 @@
+"""Plays a day's load on the planner, without a network or any failure.
+
+Workers, runs and ends are simulated exactly; what the planner is told is as
+rough as in a deployment: estimates are off, and a stop takes its time.
+"""
+
+import heapq
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from itertools import count
+from random import Random
+from typing import Any
+
+from mangotrail._graphs import (
+    AccountSpec,
+    Configuration,
+    EndKind,
+    EndRuns,
+    JobPhase,
+    QueueSpec,
+    RegisterWorker,
+    Resources,
+    RunEnd,
+    RunStart,
+    ServiceSpec,
+    SetConfiguration,
+    StartRuns,
+    StepSpec,
+    SubmitGraph,
+    TaskKey,
+)
+from mangotrail._struct import FrozenStruct
+from mangotrail.graphs.eviction import RunInfo
+from mangotrail.graphs.planning import Planner
+from mangotrail.graphs.slots import Slot
+from mangotrail.graphs.state import GraphState
+from mangotrail.graphs.units import ACCELERATOR_CORES
+from mangotrail.ids import AccountId, JobId, QueueId
+from tests.graph_fakes import (
+    SERVICE,
+    apply,
+    graph_spec,
+    queue_spec,
+    worker_spec,
+)
+
+COMMIT_MS = 25
+STOP_MS = 300
+CHECKPOINT_MS = 1_000
+RESTORE_MS = 400
+# A job that is done within this many times its objective is late, not lost.
+LATE_FACTOR = 3.0
+ACCOUNTS = 4
+
+
+class LoadClass(FrozenStruct, frozen=True, kw_only=True):
+    """One kind of job of a load.
+
+    :param per_s: jobs in a second.
+    :param width: mean number of tasks of a job.
+    :param work_ms: mean duration of a task.
+    :param spread: deviation of the logarithm of durations between jobs.
+    :param uneven: deviation of the logarithm between tasks of a job.
+    :param misjudged: deviation of the logarithm of the estimate.
+    :param accelerators: sizes of a task, drawn evenly.
+    :param gangs: share of jobs whose tasks run together only.
+    :param near: share of gangs that need one rack.
+    :param saving: share of jobs that save their progress.
+    :param worth: what a caller gains by a job in time.
+    :param late_worth: the same for a late one.
+    """
+
+    queue: QueueSpec
+    per_s: float
+    width: float
+    work_ms: float
+    cpu_millis: int
+    memory_mb: int
+    worth: float
+    late_worth: float
+    spread: float = 0.3
+    uneven: float = 0.15
+    misjudged: float = 0.5
+    accelerators: Sequence[int] = (1, 2, 4, 8, 8)
+    gangs: float = 1.0
+    near: float = 0.6
+    saving: float = 0.45
+
+
+class LoadJob(FrozenStruct, frozen=True, kw_only=True):
+    """A job of a load with what only the workers know.
+
+    :param durations_ms: of each task.
+    """
+
+    name: JobId
+    kind: LoadClass
+    step: StepSpec
+    account: AccountId
+    at_ms: int
+    durations_ms: Sequence[int]
+
+    @property
+    def objective_ms(self) -> float:
+        """Time after handing in by which the job should be done."""
+        return (
+            self.kind.queue.stretch * max(self.durations_ms)
+            + self.kind.queue.target_latency_ms
+        )
+
+
+class ServedClass(FrozenStruct, frozen=True, kw_only=True):
+    """What the callers of one queue got."""
+
+    owed: float
+    earned: float
+    jobs: int
+    in_time: int
+    late: int
+
+    @property
+    def share(self) -> float:
+        """Share of the worth that was owed."""
+        return self.earned / self.owed if self.owed else 1.0
+
+
+def draw_jobs(
+    classes: Iterable[LoadClass], *, seconds: float, seed: int
+) -> list[LoadJob]:
+    """Draw the jobs of a day."""
+    jobs = []
+    for kind in classes:
+        random = Random(f'{seed} {kind.queue.queue}')
+        at_ms = 0.0
+        while True:
+            at_ms += random.expovariate(kind.per_s) * 1000
+            if at_ms > seconds * 1000:
+                break
+            jobs.append(_draw_job(kind, random, round(at_ms), len(jobs)))
+    return sorted(jobs, key=lambda job: (job.at_ms, job.name))
+
+
+def _draw_job(
+    kind: LoadClass, random: Random, at_ms: int, number: int
+) -> LoadJob:
+    width = kind.width * random.lognormvariate(-0.32, 0.8)
+    gang = random.random() < kind.gangs
+    mean_ms = kind.work_ms * random.lognormvariate(0, kind.spread)
+    durations = [
+        max(100, round(mean_ms * random.lognormvariate(0, kind.uneven)))
+        for _ in range(max(1, min(round(width), round(6 * kind.width))))
+    ]
+    if gang:
+        durations = [max(durations)] * len(durations)
+    step = StepSpec(
+        count=len(durations),
+        need=Resources(
+            cpu_millis=kind.cpu_millis,
+            memory_mb=kind.memory_mb,
+            accelerators=random.choice(kind.accelerators),
+        ),
+        estimated_ms=round(mean_ms * random.lognormvariate(0, kind.misjudged)),
+        gang=gang,
+        same_rack=gang and random.random() < kind.near,
+        checkpoints=random.random() < kind.saving,
+    )
+    return LoadJob(
+        name=JobId(f'{kind.queue.queue}-{number}'),
+        kind=kind,
+        step=step,
+        account=AccountId(f'account-{random.randrange(ACCOUNTS)}'),
+        at_ms=at_ms,
+        durations_ms=durations,
+    )
+
+
+class LoadPlay:
+    """One day.
+
+    :param workers: workers with 8 accelerators, 64 cores and 256 GB.
+    :param guaranteed: accelerators of each account for urgent jobs.
+    """
+
+    def __init__(
+        self, jobs: Sequence[LoadJob], *, workers: int, guaranteed: int
+    ) -> None:
+        self.jobs = {job.name: job for job in jobs}
+        self.now_ms = 0
+        self.numbers = count()
+        self.events: list[tuple[int, int, Callable[..., None], Any]] = []
+        self.state = GraphState()
+        queues = {job.kind.queue.queue: job.kind.queue for job in jobs}
+        apply(
+            self.state,
+            SetConfiguration(
+                configuration=Configuration(
+                    version=1,
+                    document=b'{}',
+                    queues=tuple(queues.values()),
+                    accounts=tuple(
+                        AccountSpec(
+                            account=AccountId(f'account-{number}'),
+                            keys=(),
+                            guaranteed_accelerators=guaranteed,
+                        )
+                        for number in range(ACCOUNTS)
+                    ),
+                    services=(ServiceSpec(service=SERVICE),),
+                )
+            ),
+        )
+        for number in range(workers):
+            spec = worker_spec(
+                number,
+                rack=f'rack-{number // 8}',
+                capacity=Resources(
+                    cpu_millis=64_000, memory_mb=262_144, accelerators=8
+                ),
+            )
+            apply(self.state, RegisterWorker(worker=spec))
+        self.begun_ms: dict[tuple[TaskKey, int], int] = {}
+        self.saved_ms: Counter[tuple[JobId, int]] = Counter()
+        self.stopping: set[TaskKey] = set()
+        self.claims: Any = {}
+        self.done_ms: dict[JobId, int] = {}
+        self.wasted = 0.0
+        self.stops = 0
+        self.planned_ms = -1
+
+    def play(self) -> dict[QueueId, ServedClass]:
+        """Play the day to its end and return what callers got."""
+        for job in self.jobs.values():
+            self.later(job.at_ms, self.submit, job)
+        while self.events:
+            self.now_ms, _, handle, body = heapq.heappop(self.events)
+            handle(body)
+        return self.served()
+
+    def later(self, at_ms: int, handle: Callable[..., None], body: Any) -> None:
+        """Have something happen."""
+        heapq.heappush(self.events, (at_ms, next(self.numbers), handle, body))
+
+    def plan_soon(self) -> None:
+        """Plan once what happens at this moment is over."""
+        if self.planned_ms <= self.now_ms:
+            self.planned_ms = self.now_ms + COMMIT_MS
+            self.later(self.planned_ms, self.plan, None)
+
+    def submit(self, job: LoadJob) -> None:
+        """Accept a job."""
+        graph = graph_spec(
+            job.name, job.step, queue=job.kind.queue.queue, account=job.account
+        )
+        apply(self.state, SubmitGraph(graph=graph), time_ms=self.now_ms)
+        self.plan_soon()
+
+    def plan(self, _: None) -> None:
+        """Make a plan and carry it out."""
+        plan = Planner(
+            state=self.state,
+            slots={
+                life: Slot(held.spec)
+                for life, held in self.state.workers.items()
+            },
+            runs={
+                task: RunInfo(
+                    started_ms=self.begun_ms[task, start.run],
+                    stopping=task in self.stopping,
+                )
+                for task, start in self.state.runs.items()
+            },
+            claims=self.claims,
+            now_ms=self.now_ms,
+        ).plan()
+        self.claims = plan.claims
+        for task in plan.stops:
+            self.stopping.add(task)
+            self.stops += 1
+            self.later(self.now_ms + STOP_MS, self.stop, self.state.runs[task])
+        accepted = apply(self.state, StartRuns(starts=plan.starts))
+        for start in accepted:
+            self.begun_ms[start.task, start.run] = self.now_ms
+            left_ms = self.left_ms(start.task)
+            self.later(self.now_ms + left_ms, self.finish, start)
+
+    def piece(self, task: TaskKey) -> tuple[JobId, int]:
+        """Return what progress is kept for: a task, or a whole gang."""
+        gang = self.jobs[task.job].step.gang
+        return task.job, 0 if gang else task.index
+
+    def left_ms(self, task: TaskKey) -> int:
+        """Return how long a task still runs if it starts now."""
+        whole_ms = self.jobs[task.job].durations_ms[task.index]
+        saved_ms = self.saved_ms[self.piece(task)]
+        return whole_ms - saved_ms + (RESTORE_MS if saved_ms else 0)
+
+    def finish(self, start: RunStart) -> None:
+        """End a run as done, unless it was stopped before."""
+        if self.state.runs.get(start.task) == start:
+            self.end(start, EndKind.DONE)
+
+    def stop(self, start: RunStart) -> None:
+        """End a run that was told to stop."""
+        if self.state.runs.get(start.task) != start:
+            return
+        job = self.jobs[start.task.job]
+        ran_ms = self.now_ms - self.begun_ms[start.task, start.run]
+        lost_ms = ran_ms
+        if job.step.checkpoints:
+            saved_ms = self.saved_ms[self.piece(start.task)]
+            gained_ms = max(0, ran_ms - (RESTORE_MS if saved_ms else 0))
+            lost_ms = min(ran_ms, RESTORE_MS)
+            if start.task.index == self.piece(start.task)[1]:
+                self.saved_ms[self.piece(start.task)] = saved_ms + gained_ms
+        need = job.step.need
+        cores = need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
+        self.wasted += lost_ms / 1000 * cores
+        self.end(start, EndKind.STOPPED)
+
+    def end(self, start: RunStart, kind: EndKind) -> None:
+        """End a run, and with it the job if nothing is left of it."""
+        self.stopping.discard(start.task)
+        end = RunEnd(task=start.task, run=start.run, end=kind)
+        apply(self.state, EndRuns(ends=(end,)), time_ms=self.now_ms)
+        name = start.task.job
+        if self.state.jobs[name].phase is JobPhase.COMPLETED:
+            self.done_ms.setdefault(name, self.now_ms)
+        self.plan_soon()
+
+    def served(self) -> dict[QueueId, ServedClass]:
+        """Return what callers got, by queue."""
+        by_queue: dict[QueueId, list[LoadJob]] = {}
+        for job in self.jobs.values():
+            by_queue.setdefault(job.kind.queue.queue, []).append(job)
+        return {
+            queue: self.served_class(jobs) for queue, jobs in by_queue.items()
+        }
+
+    def served_class(self, jobs: Sequence[LoadJob]) -> ServedClass:
+        """Return what the callers of some jobs got."""
+        mean = sum(work_of(job) for job in jobs) / len(jobs)
+        owed = earned = 0.0
+        counts: Counter[str] = Counter()
+        for job in jobs:
+            weight = min(4.0, 0.3 + 0.7 * work_of(job) / mean)
+            owed += job.kind.worth * weight
+            took_ms = self.done_ms[job.name] - job.at_ms
+            if took_ms <= job.objective_ms:
+                earned += job.kind.worth * weight
+                counts['in_time'] += 1
+            elif took_ms <= LATE_FACTOR * job.objective_ms:
+                earned += job.kind.late_worth * weight
+                counts['late'] += 1
+        return ServedClass(
+            owed=owed,
+            earned=earned,
+            jobs=len(jobs),
+            in_time=counts['in_time'],
+            late=counts['late'],
+        )
+
+
+def work_of(job: LoadJob) -> float:
+    """Return the core-seconds of a job."""
+    need = job.step.need
+    cores = need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
+    return cores * sum(job.durations_ms) / 1000
+
+
+def heavy_classes(*, scale: float = 1.0) -> tuple[LoadClass, ...]:
+    """Return a load whose urgent gangs and wide steps exceed 24 workers.
+
+    :param scale: factor on the rates.
+    """
+    return (
+        LoadClass(
+            queue=queue_spec(
+                QueueId('plan'), 1, stretch=3.0, target_latency_ms=1_200
+            ),
+            per_s=0.7 * scale,
+            width=4,
+            work_ms=6_800,
+            cpu_millis=26_000,
+            memory_mb=75_000,
+            worth=3.0,
+            late_worth=0.9,
+        ),
+        LoadClass(
+            queue=queue_spec(
+                QueueId('price'), 0, stretch=1.5, target_latency_ms=300
+            ),
+            per_s=2.0 * scale,
+            width=3,
+            work_ms=2_500,
+            cpu_millis=7_500,
+            memory_mb=22_000,
+            worth=4.0,
+            late_worth=0.8,
+            near=0.8,
+            saving=0.0,
+        ),
+        LoadClass(
+            queue=queue_spec(
+                QueueId('roster'), 2, stretch=3.0, target_latency_ms=3_000
+            ),
+            per_s=0.75 * scale,
+            width=12,
+            work_ms=6_100,
+            cpu_millis=5_600,
+            memory_mb=16_000,
+            worth=1.0,
+            late_worth=0.3,
+            accelerators=(1,),
+            gangs=0.0,
+        ),
+    )
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
+from random import Random
 
 import msgspec
 import pytest
@@ -161,9 +162,92 @@
             (folder / name).write_bytes(self.contents.get(inode, b''))
 
 
+class TearingDisk(LosingDisk):
+    """As the losing disk, but keeps some of what was not synced.
+
+    Each write after the last sync of its file is whole, torn or missing, and
+    each name that changed after the last sync of the folder is old or new.
+    A new file keeps its name once the file itself was synced.
+
+    :param seed: decides what is kept.
+    """
+
+    def __init__(self, fail_at: int, seed: int) -> None:
+        super().__init__(fail_at)
+        self.random = Random(f'{fail_at} {seed}')
+        self.unsynced: dict[int, list[tuple[int, bytes]]] = {}
+        self.pwritten = os.pwrite
+
+    def pwrite(self, handle: int, data: bytes, offset: int) -> int:
+        inode = os.fstat(handle).st_ino
+        self.unsynced.setdefault(inode, []).append((offset, bytes(data)))
+        return self.pwritten(handle, data, offset)
+
+    def sync(self, handle: int) -> None:
+        super().sync(handle)
+        path = Path(os.readlink(f'/proc/self/fd/{handle}'))
+        self.unsynced.pop(path.stat().st_ino, None)
+        if not path.is_dir():
+            self.names.setdefault(path.name, path.stat().st_ino)
+
+    def content(self, inode: int) -> bytes:
+        content = bytearray(self.contents.get(inode, b''))
+        for offset, data in self.unsynced.get(inode, ()):
+            kept = self.random.choice((0, len(data), len(data)))
+            if self.random.random() < 0.4:
+                kept = self.random.randint(0, len(data))
+            if kept:
+                content.extend(bytes(max(0, offset - len(content))))
+                content[offset : offset + kept] = data[:kept]
+        return bytes(content)
+
+    def restore_from(self, lost: Path, folder: Path) -> None:
+        now = {file.name: file.stat().st_ino for file in lost.iterdir()}
+        folder.mkdir()
+        for name in sorted({*self.names, *now}):
+            inode = self.random.choice((self.names, now)).get(name)
+            if inode is not None:
+                (folder / name).write_bytes(self.content(inode))
+
+
 class TestFileJournal:
     """Records in files."""
 
+    @pytest.mark.parametrize('seed', range(40))
+    def test_torn_writes(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
+    ) -> None:
+        """Unsynced writes that a power loss keeps in part do no harm.
+
+        A mark that was torn at the end of a segment that is still needed,
+        but no longer written, was taken for damage, and the member was lost.
+        """
+        for fail_at in range(3, 100):
+            disk = TearingDisk(fail_at, seed)
+            lost = tmp_path / f'a{fail_at}'
+            allowed = []
+            with monkeypatch.context() as patch:
+                patch.setattr(os, 'fsync', disk.sync)
+                patch.setattr(os, 'write', disk.write)
+                patch.setattr(os, 'pwrite', disk.pwrite)
+                journal = FileJournal(lost)
+                try:
+                    journal.load()
+                    allowed = [Recovered()]
+                    for operation, after in OPERATIONS:
+                        allowed.append(after)
+                        operation(journal)
+                        allowed = [after]
+                except StorageError:
+                    assert journal.failed
+                journal.close()
+            disk.restore_from(lost, tmp_path / f'b{fail_at}')
+            if allowed:
+                assert reopen(tmp_path / f'b{fail_at}') in allowed, fail_at
+            if disk.left > 0:
+                return
+        pytest.fail('the operations never came to an end')
+
     def test_power_loss(
         self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
     ) -> None:
