Keep places for gangs in time; throw no work away for urgent jobs that are late

Urgent jobs beyond their guarantee stopped other work although by their estimate they were late all the same, and each place that a large gang needed was taken by smaller tasks that came later.

Change: an urgent job that no guarantee covers stops nothing once a start would miss its objective. The most pressing gang that can still be in time keeps the places that become free first. The log tells each eviction once, with what it is for and what it costs, and for each wait whether places are kept and whether the job can be in time.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := .venv/bin
 export PYTHONDONTWRITEBYTECODE := 1
 
-.PHONY: install demo test measure soak prove capacity check format format-check lint typecheck generate generate-check docs clean
+.PHONY: install demo test measure soak fault-soak prove capacity check format format-check lint typecheck generate generate-check docs clean
 
 # The stamp is renewed whenever a pinned version changes.
 .venv/stamp: requirements.lock pyproject.toml
@@ -62,6 +62,10 @@
 soak: install
 	$(BIN)/python -m benchmarks.soak --seeds=$(SEEDS) --seconds=$(SECONDS) --first=$(FIRST)
 
+# The real programs as processes, disturbed from outside; a line of JSON a seed.
+fault-soak: install
+	$(BIN)/python platform/tests/soak/run.py --seeds=$(SEEDS) --first=$(FIRST)
+
 # Each promise's test without and with its mechanism.
 prove: install
 	$(BIN)/python -m tools.prove
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -339,11 +339,20 @@
         """Stop victims, number the starts and order them."""
         self.claims = dict(plan.claims)
         self.tell_waits(plan)
+        for eviction in plan.evictions:
+            logger.info(
+                'Runs stopped to make room job={} task={}.{} entitled={}'
+                ' cost_core_s={:.1f} stopped={} of_jobs={}',
+                *eviction.unit,
+                eviction.entitled,
+                eviction.cost,
+                len(eviction.tasks),
+                sorted({task.job for task in eviction.tasks}),
+            )
         for task in plan.stops:
             start = self.state.runs.get(task)
             session = self.sessions.get(start.life) if start else None
             if session is not None:
-                logger.info('Stopping {} for a more urgent job', task)
                 session.stop(task)
         if plan.starts:
             accepted = await self.commit(StartRuns(starts=plan.starts))
@@ -356,11 +365,14 @@
             if wait.unit not in self.told_waits:
                 logger.info(
                     'Tasks wait job={} task={}.{} count={} entitled={}'
-                    ' claimed={} open_workers={} free_accelerators={}',
+                    ' claimed={} reserved={} in_time={} open_workers={}'
+                    ' free_accelerators={}',
                     *wait.unit,
                     wait.tasks,
                     wait.entitled,
                     wait.claimed,
+                    wait.reserved,
+                    wait.in_time,
                     wait.open_workers,
                     wait.free_accelerators,
                 )
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -14,7 +14,7 @@
 from mangotrail._struct import FrozenStruct
 from mangotrail.graphs.eviction import RunInfo, Victim
 from mangotrail.graphs.records import JobState
-from mangotrail.graphs.slots import Room, Slot, fits_empty
+from mangotrail.graphs.slots import Room, Slot, emptiest_slots, fits_empty
 from mangotrail.graphs.state import GraphState
 from mangotrail.graphs.units import (
     URGENT,
@@ -49,31 +49,54 @@
     :param tasks: tasks that wait.
     :param open_workers: workers of the service that take runs.
     :param free_accelerators: accelerators free on them.
-    :param claimed: whether capacity is kept for the unit already.
+    :param claimed: whether runs are being stopped to make room for the unit.
+    :param reserved: whether what becomes free is kept for the unit.
+    :param in_time: whether the job can still meet its objective.
     """
 
     unit: UnitKey
     tasks: int
     entitled: bool
     claimed: bool
+    reserved: bool
+    in_time: bool
     open_workers: int
     free_accelerators: int
 
 
+class Eviction(FrozenStruct, frozen=True, kw_only=True):
+    """Runs that are stopped to make room for a unit.
+
+    :param tasks: tasks whose runs are stopped, gangs whole.
+    :param entitled: whether a guarantee covers the unit.
+    :param cost: core-seconds of work that is thrown away.
+    """
+
+    unit: UnitKey
+    tasks: Sequence[TaskKey]
+    entitled: bool
+    cost: float
+
+
 class Plan(FrozenStruct, frozen=True, kw_only=True):
     """What to do next.
 
     :param starts: runs to number and order, gangs whole.
-    :param stops: runs to stop because others go first.
+    :param evictions: runs to stop because others go first.
     :param claims: capacity kept, to be given to the next planning.
     :param waits: units that do not start whole.
     """
 
     starts: Sequence[RunStart]
-    stops: Sequence[TaskKey]
+    evictions: Sequence[Eviction]
     claims: Mapping[UnitKey, Claim]
     waits: Sequence[Wait] = ()
 
+    @property
+    def stops(self) -> list[TaskKey]:
+        """Return all tasks whose runs are stopped."""
+        return [task for held in self.evictions for task in held.tasks]
+
 
 class Planner:
     """Makes one plan.
@@ -98,8 +121,9 @@
         self.now_ms = now_ms
         self.entitled = entitled_jobs(state)
         self.starts: list[RunStart] = []
-        self.stops: list[TaskKey] = []
+        self.evictions: list[Eviction] = []
         self.claims: dict[UnitKey, Claim] = {}
+        self.reserved: UnitKey | None = None
         self.present: dict[UnitKey, dict[LifeId, int]] = defaultdict(dict)
         self.occupy_runs()
         self.units = self.ordered_units()
@@ -117,7 +141,7 @@
                 self.place_tasks(unit)
         return Plan(
             starts=self.starts,
-            stops=self.stops,
+            evictions=self.evictions,
             claims=self.claims,
             waits=self.waits(),
         )
@@ -142,6 +166,8 @@
             tasks=tasks,
             entitled=unit.entitled,
             claimed=unit.key in self.claims,
+            reserved=unit.key == self.reserved,
+            in_time=unit.can_be_in_time(self.now_ms),
             open_workers=len(slots),
             free_accelerators=sum(max(slot.accelerators, 0) for slot in slots),
         )
@@ -265,6 +291,24 @@
                 return
         if unit.is_urgent:
             self.make_room(unit, unit.indices)
+        elif self.reserved is None and unit.can_be_in_time(self.now_ms):
+            self.reserve(unit)
+
+    def reserve(self, unit: Unit) -> None:
+        """Keep capacity for a gang while the runs in its way end.
+
+        Without it, smaller units that come later take each place that becomes
+        free. Only the most pressing gang has a reservation, so that little
+        capacity is idle.
+        """
+        spec = unit.step.spec
+        for slots in self.rack_groups(unit):
+            chosen = emptiest_slots(spec, slots, len(unit.indices))
+            if chosen:
+                for slot in chosen:
+                    slot.take(spec)
+                self.reserved = unit.key
+                return
 
     def place_tasks(self, unit: Unit) -> None:
         """Start as many tasks as fit."""
@@ -284,6 +328,9 @@
 
         :param indices: tasks that found no room.
         """
+        if not unit.entitled and not unit.can_be_in_time(self.now_ms):
+            # Work would be thrown away for a caller who is late all the same.
+            return
         best: tuple[float, list[Victim], Sequence[Slot]] | None = None
         for slots in self.rack_groups(unit):
             found = self.eviction(unit, slots, len(indices))
@@ -294,8 +341,14 @@
         cost, victims, chosen = best
         if not unit.entitled and cost > EVICTION_RATIO * unit.work():
             return
-        for victim in victims:
-            self.stops.extend(victim.tasks)
+        self.evictions.append(
+            Eviction(
+                unit=unit.key,
+                tasks=[task for held in victims for task in held.tasks],
+                entitled=unit.entitled,
+                cost=cost,
+            )
+        )
         places = [
             (index, slot.worker.life)
             for index, slot in zip(indices, chosen, strict=True)
--- a/mangotrail/graphs/slots.py
+++ b/mangotrail/graphs/slots.py
@@ -76,6 +76,33 @@
     return min(counts, default=step.count)
 
 
+def emptiest_slots(
+    step: StepSpec, slots: Iterable[Slot], wanted: int
+) -> Sequence[Slot]:
+    """Return the workers whose runs will leave room for a step first.
+
+    :return: a slot for each task, the emptiest workers first; empty if the
+        workers hold too few tasks even without their runs.
+    """
+    ranked = sorted(
+        slots,
+        key=lambda slot: (
+            -slot.accelerators,
+            -slot.memory_mb,
+            slot.worker.life,
+        ),
+    )
+    chosen: list[Slot] = []
+    for slot in ranked:
+        count = fits_empty(slot.worker.capacity, step)
+        if step.per_worker_limit:
+            count = min(count, step.per_worker_limit)
+        chosen.extend([slot] * min(count, wanted - len(chosen)))
+        if len(chosen) == wanted:
+            return chosen
+    return ()
+
+
 class Room:
     """How many tasks of one step fit on each of some workers.
 
--- a/mangotrail/graphs/units.py
+++ b/mangotrail/graphs/units.py
@@ -67,6 +67,10 @@
             + queue.target_latency_ms
         )
 
+    def can_be_in_time(self, now_ms: int) -> bool:
+        """Whether a start now would meet the objective, by the estimate."""
+        return now_ms + self.step.spec.estimated_ms <= self.objective_ms()
+
     def work(self) -> float:
         """Return the estimated work of the waiting tasks in core-seconds."""
         spec = self.step.spec
