--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -73,7 +73,7 @@
         )
         self.replica.on_applied = self.on_applied
         self.server = CallServer(
-            address=settings.address,
+            address=InstanceId(settings.listen_address or settings.address),
             context=self.channels.context,
             on_call=self.on_call,
             on_peer_message=self.replica.receive,
