Choose what to stop for urgent jobs one place at a time

Cause: the planner took victims in the order of their cost for what they free, wherever they ran, until everything fitted, and then gave back what was not needed. That keeps a cheap run on each of many workers instead of clearing the cheapest workers, and built the list of victims anew for each rack.

Change: RoomMaker takes one place after the other, each where the next task costs least; what a gang frees elsewhere counts for the next place. Only the offers of workers that changed are computed again.

--- a/mangotrail/graphs/eviction.py
+++ b/mangotrail/graphs/eviction.py
@@ -1,11 +1,11 @@
 """What it costs to stop runs so that others can start."""
 
-from collections.abc import Mapping, Sequence
-from collections.abc import Set as AbstractSet
+from collections import defaultdict
+from collections.abc import Iterable, Mapping, Sequence
 
-from mangotrail._graphs import TaskKey
+from mangotrail._graphs import StepSpec, TaskKey
 from mangotrail._struct import FrozenStruct
-from mangotrail.graphs.slots import Slot
+from mangotrail.graphs.slots import SLOW_WORKER, Slot
 from mangotrail.graphs.state import GraphState
 from mangotrail.graphs.units import cores_of
 from mangotrail.ids import LifeId
@@ -13,6 +13,8 @@
 # What a stopped run loses that saves its progress when it is stopped: the
 # stop itself (up to 0.4 s) and the time to resume (up to 0.6 s).
 SAVED_LOSS_S = 0.8
+# Memory that weighs as much as an accelerator: about an eighth of a worker.
+MEMORY_SHARE_MB = 16_384
 
 
 class RunInfo(FrozenStruct, frozen=True, kw_only=True):
@@ -27,17 +29,13 @@
 
 
 class Victim:
-    """Runs that are stopped together: one task, or a whole gang.
-
-    :param lives: workers where freed capacity is of use.
-    """
+    """Runs that are stopped together: one task, or a whole gang."""
 
     def __init__(
         self,
         state: GraphState,
         runs: Mapping[TaskKey, RunInfo],
         tasks: Sequence[TaskKey],
-        lives: AbstractSet[LifeId],
         now_ms: int,
     ) -> None:
         self.tasks = tasks
@@ -51,11 +49,13 @@
         elapsed_s = max(now_ms - oldest_ms, 100) / 1000
         if self.spec.checkpoints:
             elapsed_s = min(elapsed_s, SAVED_LOSS_S)
-        need = self.spec.need
         self.cost = elapsed_s * cores_of(self.spec) * len(tasks)
-        useful = sum(home in lives for home in self.homes)
-        freed = max(need.accelerators, need.memory_mb / 16_384, 1)
-        self.rate = self.cost / (useful * freed)
+
+    def rate_at(self, life: LifeId) -> float:
+        """Return the cost for what is freed on one worker."""
+        need = self.spec.need
+        freed = max(need.accelerators, need.memory_mb / MEMORY_SHARE_MB, 1)
+        return self.cost / (freed * self.homes.count(life))
 
     def free(self, slots: Mapping[LifeId, Slot]) -> None:
         """Give the capacity back, for a trial."""
@@ -68,3 +68,122 @@
         for home in self.homes:
             if home in slots:
                 slots[home].take(self.spec)
+
+
+class RoomMaker:
+    """Finds the runs whose loss costs least and that make room for tasks.
+
+    Takes one place after the other, each on the worker where the next task
+    costs least, because workers differ far more in what runs on them than in
+    what they hold.
+
+    :param step: the tasks that need room.
+    :param slots: all workers; they are as before after each call.
+    :param present: tasks of the same step and occurrence on each worker.
+    """
+
+    def __init__(
+        self,
+        *,
+        step: StepSpec,
+        slots: Mapping[LifeId, Slot],
+        victims: Iterable[Victim],
+        present: Mapping[LifeId, int],
+    ) -> None:
+        self.step = step
+        self.slots = slots
+        self.present = present
+        self.at: dict[LifeId, list[Victim]] = defaultdict(list)
+        for victim in victims:
+            for home in dict.fromkeys(victim.homes):
+                self.at[home].append(victim)
+        self.stopped: list[Victim] = []
+
+    def make(
+        self, slots: Iterable[Slot], wanted: int
+    ) -> tuple[float, Sequence[Victim], Sequence[Slot]] | None:
+        """Return how to make room for tasks on some workers.
+
+        :return: cost in core-seconds, victims and a slot for each task; None
+            if even stopping all of them leaves too little room.
+        """
+        self.stopped = []
+        chosen: list[Slot] = []
+        offers = {slot.worker.life: self.offer(slot, ()) for slot in slots}
+        while len(chosen) < wanted:
+            offered = {life: offer for life, offer in offers.items() if offer}
+            if not offered:
+                break
+            life = min(offered, key=lambda held: offered[held].rank)
+            changed = {life}
+            for victim in offered[life].victims:
+                victim.free(self.slots)
+                self.stopped.append(victim)
+                changed.update(victim.homes)
+            slot = self.slots[life]
+            slot.take(self.step)
+            chosen.append(slot)
+            for again in changed & offers.keys():
+                offers[again] = self.offer(self.slots[again], chosen)
+        for slot in chosen:
+            slot.take(self.step, -1)
+        for victim in self.stopped:
+            victim.occupy(self.slots)
+        if len(chosen) < wanted:
+            return None
+        return sum(victim.cost for victim in self.stopped), self.stopped, chosen
+
+    def offer(self, slot: Slot, chosen: Sequence[Slot]) -> 'Offer | None':
+        """Return what one more task costs on a worker, None if too much."""
+        life = slot.worker.life
+        limit = self.step.per_worker_limit
+        held = self.present.get(life, 0) + chosen.count(slot)
+        if not slot.is_open or (limit and held >= limit):
+            return None
+        victims: list[Victim] = []
+        if not slot.room(self.step):
+            victims = self.local_victims(slot)
+            if not victims:
+                return None
+        cost = sum(victim.cost for victim in victims)
+        return Offer(
+            victims=victims,
+            rank=(cost, slot.slowness > SLOW_WORKER, slot.leftover(), life),
+        )
+
+    def local_victims(self, slot: Slot) -> list[Victim]:
+        """Return the runs on a worker that leave room for one more task."""
+        life = slot.worker.life
+        candidates = [
+            victim
+            for victim in self.at.get(life, ())
+            if victim not in self.stopped
+        ]
+        candidates.sort(key=lambda victim: victim.rate_at(life))
+        found: list[Victim] = []
+        for victim in candidates:
+            slot.take(victim.spec, -victim.homes.count(life))
+            found.append(victim)
+            if slot.room(self.step):
+                break
+        enough = bool(slot.room(self.step))
+        for victim in sorted(found, key=lambda held: -held.cost):
+            count = victim.homes.count(life)
+            slot.take(victim.spec, count)
+            if enough and slot.room(self.step):
+                found.remove(victim)
+            else:
+                slot.take(victim.spec, -count)
+        for victim in found:
+            slot.take(victim.spec, victim.homes.count(life))
+        return found if enough else []
+
+
+class Offer(FrozenStruct, frozen=True, kw_only=True):
+    """What one more task costs on a worker.
+
+    :param rank: cost in core-seconds, then how well the worker fits.
+    """
+
+    victims: Sequence[Victim]
+    rank: tuple[float, bool, tuple[int, int, int], LifeId]
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -8,11 +8,10 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
-from collections.abc import Set as AbstractSet
 
 from mangotrail._graphs import RunStart, StepSpec, TaskKey
 from mangotrail._struct import FrozenStruct
-from mangotrail.graphs.eviction import RunInfo, Victim
+from mangotrail.graphs.eviction import RoomMaker, RunInfo, Victim
 from mangotrail.graphs.records import JobState
 from mangotrail.graphs.slots import Room, Slot, emptiest_slots, fits_empty
 from mangotrail.graphs.state import GraphState
@@ -331,14 +330,20 @@
         if not unit.entitled and not unit.can_be_in_time(self.now_ms):
             # Work would be thrown away for a caller who is late all the same.
             return
-        best: tuple[float, list[Victim], Sequence[Slot]] | None = None
-        for slots in self.rack_groups(unit):
-            found = self.eviction(unit, slots, len(indices))
-            if found is not None and (best is None or found[0] < best[0]):
-                best = found
-        if best is None:
+        maker = RoomMaker(
+            step=unit.step.spec,
+            slots=self.slots,
+            victims=self.victims(unit),
+            present=self.present[unit.key],
+        )
+        found = [
+            made
+            for slots in self.rack_groups(unit)
+            if (made := maker.make(slots, len(indices))) is not None
+        ]
+        if not found:
             return
-        cost, victims, chosen = best
+        cost, victims, chosen = min(found, key=lambda made: made[0])
         if not unit.entitled and cost > EVICTION_RATIO * unit.work():
             return
         self.evictions.append(
@@ -357,41 +362,8 @@
         for slot in chosen:
             slot.take(unit.step.spec)
 
-    def eviction(
-        self, unit: Unit, slots: Sequence[Slot], wanted: int
-    ) -> tuple[float, list[Victim], Sequence[Slot]] | None:
-        """Return the cheapest victims on some workers that make room.
-
-        :return: cost in core-seconds, victims and a slot for each task; None
-            if even stopping all of them leaves too little room.
-        """
-        spec = unit.step.spec
-        lives = {slot.worker.life for slot in slots}
-        victims = self.victims(unit, lives)
-        present = self.present[unit.key]
-        stopped: list[Victim] = []
-        for victim in victims:
-            victim.free(self.slots)
-            stopped.append(victim)
-            if Room(spec, slots, present).total >= wanted:
-                break
-        chosen = Room(spec, slots, present).choose(wanted)
-        if chosen:
-            for victim in sorted(stopped, key=lambda held: -held.cost):
-                victim.occupy(self.slots)
-                if Room(spec, slots, present).total >= wanted:
-                    stopped.remove(victim)
-                else:
-                    victim.free(self.slots)
-            chosen = Room(spec, slots, present).choose(wanted)
-        for victim in stopped:
-            victim.occupy(self.slots)
-        if not chosen:
-            return None
-        return sum(victim.cost for victim in stopped), stopped, chosen
-
-    def victims(self, unit: Unit, lives: AbstractSet[LifeId]) -> list[Victim]:
-        """Return what may be stopped for a unit, the cheapest first."""
+    def victims(self, unit: Unit) -> list[Victim]:
+        """Return what may be stopped for a unit."""
         groups: dict[tuple[JobId, int, int, int], list[TaskKey]] = {}
         for task in self.state.runs:
             job = self.state.jobs[task.job]
@@ -401,17 +373,13 @@
             single = 0 if step.spec.gang else task.index + 1
             group = (task.job, task.occurrence, task.step, single)
             groups.setdefault(group, []).append(task)
-        victims = []
-        for tasks in groups.values():
-            homes = {self.state.runs[task].life for task in tasks}
-            if homes & lives and not any(
+        return [
+            Victim(self.state, self.runs, tasks, self.now_ms)
+            for tasks in groups.values()
+            if not any(
                 self.runs.get(task, RunInfo()).stopping for task in tasks
-            ):
-                victims.append(
-                    Victim(self.state, self.runs, tasks, lives, self.now_ms)
-                )
-        victims.sort(key=lambda victim: (victim.rate, victim.tasks[0].job))
-        return victims
+            )
+        ]
 
     def may_evict(self, unit: Unit, job: JobState, spec: StepSpec) -> bool:
         """Whether tasks of a step may be stopped for a unit."""
