Ask an adviser which workers may run a step, and start with its tickets

Cause: jobs of queues with an adviser were refused at once, because nothing asked it.

Change: graphs/advice.py keeps what the adviser said, in the leader's memory, and asks one question at a time, the most pressing step first, about at most 30 workers that are not decided yet. The planner places tasks of such queues on approved workers only; an order carries the ticket; a ticket that a worker does not take is asked for again. Tickets are not used in their last 1.5 s, in which an order may still be on its way.

Ruled out: asking from the entry instances (each machine's calls are served in turn, but only the leader knows which workers are of use); keeping tickets in the replicated state, a commit for each answer to save a new leader some questions.

--- a/mangotrail/_graph_settings.py
+++ b/mangotrail/_graph_settings.py
@@ -120,6 +120,12 @@
         ),
     ] = field(default_factory=dict)
     known_zones: Sequence[ZoneId] = field(default_factory=list)
+    adviser_address: Annotated[
+        str,
+        Meta(
+            description='Host and port of the adviser; empty if there is none.'
+        ),
+    ] = ''
     metrics_address: Annotated[
         str,
         Meta(description='Host and port of the metrics page; empty for none.'),
--- a/mangotrail/_graphs.py
+++ b/mangotrail/_graphs.py
@@ -140,6 +140,26 @@
     ] = 0
 
 
+class AdviceSpec(FrozenStruct, frozen=True, kw_only=True):
+    """
+    How an adviser decides on the workers of a step.
+    """
+
+    decision_ms: Annotated[
+        int, Meta(description='Time that a decision takes.', ge=0)
+    ]
+    period_ms: Annotated[
+        int,
+        Meta(
+            description='Time that a decision takes besides for each worker.',
+            ge=0,
+        ),
+    ]
+    validity_ms: Annotated[
+        int, Meta(description='Time for which a ticket is valid.', ge=1)
+    ]
+
+
 class QueueSpec(FrozenStruct, frozen=True, kw_only=True):
     """
     Where jobs of one kind are handed in and how they are treated.
@@ -169,12 +189,15 @@
     ]
     timeout_ms: Annotated[int, Meta(ge=1)]
     anonymous: Annotated[bool, Meta(description='No key is needed.')] = False
-    advised: Annotated[
-        bool,
-        Meta(
-            description='Only an adviser knows the workers that may run a step.'
-        ),
-    ] = False
+    advice: (
+        Annotated[
+            AdviceSpec,
+            Meta(
+                description='Only an adviser knows the workers that may run a step; null if all may.'
+            ),
+        ]
+        | None
+    ) = None
 
 
 class AccountSpec(FrozenStruct, frozen=True, kw_only=True):
--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -36,6 +36,7 @@
 )
 from mangotrail.clock import Clock
 from mangotrail.errors import NotLeaderError, UnavailableError, UndecidedError
+from mangotrail.graphs.advice import Adviser
 from mangotrail.graphs.channels import CallServer, Channels
 from mangotrail.graphs.group import GraphReplica, open_group
 from mangotrail.graphs.leader import GraphLeader, WallClock
@@ -54,12 +55,19 @@
 
     :param settings: settings of this process.
     :param ports: opens connections to workers.
+    :param adviser: approves workers for steps of some queues.
     :raises StorageError: if the journal is damaged or cannot be used.
     """
 
     def __init__(
-        self, *, settings: GraphSettings, ports: WorkerPorts, clock: Clock
+        self,
+        *,
+        settings: GraphSettings,
+        ports: WorkerPorts,
+        clock: Clock,
+        adviser: Adviser | None = None,
     ) -> None:
+        self.adviser = adviser
         self.settings = settings
         self.ports = ports
         self.clock = clock
@@ -125,6 +133,7 @@
                     clock=self.clock,
                     wall=self.wall,
                     telemetry=self.telemetry,
+                    adviser=self.adviser,
                 )
                 self.telemetry.terms.add()
                 self.leader = leader
@@ -204,10 +213,8 @@
         held = self.replica.state.jobs.get(body.graph.job)
         if held is not None and held.graph.account == body.graph.account:
             return self.reply(Verdict.OK, reason='known')
-        if self._is_advised(body.graph):
-            return self.reply(
-                Verdict.REFUSED, reason='adviser tickets are not supported'
-            )
+        if self.adviser is None and self._is_advised(body.graph):
+            return self.reply(Verdict.REFUSED, reason='there is no adviser')
         reply = await self.change(SubmitGraph(graph=body.graph))
         logger.info(
             'Job submitted job={} queue={} account={} steps={} verdict={} {}',
@@ -227,7 +234,7 @@
         """Whether the queue of a job needs tickets of an adviser."""
         held = self.replica.state.configuration
         return any(
-            queue.advised and queue.queue == graph.queue
+            queue.advice is not None and queue.queue == graph.queue
             for queue in (held.queues if held else ())
         )
 
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -24,6 +24,12 @@
 )
 from mangotrail.clock import Clock
 from mangotrail.errors import MangotrailError
+from mangotrail.graphs.advice import (
+    AdviceBook,
+    Adviser,
+    Question,
+    most_pressing,
+)
 from mangotrail.graphs.eviction import RunInfo
 from mangotrail.graphs.group import GraphReplica
 from mangotrail.graphs.planning import Claim, Plan, Planner
@@ -56,6 +62,7 @@
     :param replica: the member that leads.
     :param ports: opens connections to workers.
     :param wall: estimates Unix milliseconds.
+    :param adviser: approves workers for steps of some queues.
     """
 
     def __init__(
@@ -67,7 +74,11 @@
         clock: Clock,
         wall: 'WallClock',
         telemetry: Telemetry,
+        adviser: Adviser | None = None,
     ) -> None:
+        self.book = AdviceBook(adviser=adviser, clock=clock)
+        self.questions: Sequence[Question] = ()
+        self.asking = asyncio.Event()
         self.telemetry = telemetry
         self.replica = replica
         self.state = replica.state
@@ -153,6 +164,10 @@
         """Count the answer to an order."""
         self.telemetry.orders.add(answer.value)
 
+    def forget_ticket(self, start: RunStart) -> None:
+        """Ask again for a ticket that a worker did not take."""
+        self.book.drop(_unit_of(start.task), start.life)
+
     def replan(self) -> None:
         """Make a plan soon."""
         self.wake.set()
@@ -176,6 +191,7 @@
     async def run(self) -> None:
         """Lead until cancelled."""
         logger.info('Leading in term {}', self.term)
+        asking = asyncio.create_task(self._ask_adviser())
         try:
             while True:
                 self.match_sessions()
@@ -186,13 +202,22 @@
                     await self.carry_out(self.make_plan())
                 await self._pause()
         finally:
-            for task in self.session_tasks.values():
+            tasks = [asking, *self.session_tasks.values()]
+            for task in tasks:
                 task.cancel()
-            await asyncio.gather(
-                *self.session_tasks.values(), return_exceptions=True
-            )
+            await asyncio.gather(*tasks, return_exceptions=True)
             logger.info('No longer leading in term {}', self.term)
 
+    async def _ask_adviser(self) -> None:
+        """Ask one question after the other, the most pressing first."""
+        while True:
+            question = most_pressing(self.questions, self.book)
+            if question is None:
+                self.asking.clear()
+                await self.asking.wait()
+            elif await self.book.ask(question):
+                self.replan()
+
     async def _pause(self) -> None:
         await asyncio.sleep(PLAN_PAUSE_S)
         try:
@@ -337,6 +362,7 @@
             claims=self.claims,
             now_ms=self.wall_ms(),
             spread_factor=self.timing.spread_factor,
+            approved=self.book.approved(),
         ).plan()
 
     def unclear_lives(self) -> set[LifeId]:
@@ -384,6 +410,9 @@
             accepted = await self.commit(StartRuns(starts=plan.starts))
             for start in accepted or ():
                 self.order(start)
+        self.questions = plan.questions
+        self.book.keep_only({question.unit for question in plan.questions})
+        self.asking.set()
 
     def tell_waits(self, plan: Plan) -> None:
         """Log what a unit lacks when it begins to wait."""
@@ -424,7 +453,10 @@
             waited_ms = self.wall_ms() - job.accepted_ms
             self.telemetry.start_wait_s.observe(waited_ms / 1000)
         session.order(
-            start, job.graph.payload, step.checkpoint(start.task.index)
+            start,
+            payload=job.graph.payload,
+            checkpoint=step.checkpoint(start.task.index),
+            ticket=self.book.ticket(_unit_of(start.task), start.life),
         )
 
     # What workers say of themselves.
@@ -465,6 +497,11 @@
         return await self.commit(RemoveWorker(life=life)) is not None
 
 
+def _unit_of(task: TaskKey) -> UnitKey:
+    """Return the step that a task belongs to."""
+    return task.job, task.occurrence, task.step
+
+
 class WallClock:
     """Estimates true time without following later steps of the clock.
 
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -8,9 +8,12 @@
 
 from collections import defaultdict
 from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Set as AbstractSet
+from types import MappingProxyType
 
 from mangotrail._graphs import RunStart, StepSpec, TaskKey
 from mangotrail._struct import FrozenStruct
+from mangotrail.graphs.advice import Question
 from mangotrail.graphs.eviction import RoomMaker, RunInfo, Victim
 from mangotrail.graphs.records import JobState
 from mangotrail.graphs.slots import Room, Slot, emptiest_slots, fits_empty
@@ -27,6 +30,7 @@
 # A task waits at least this long for its rack. Later it takes another one, if
 # the workers are mostly idle and that is not worse than to go on waiting.
 RACK_WAIT_MS = 2_000
+NO_APPROVALS: Mapping[UnitKey, AbstractSet[LifeId]] = MappingProxyType({})
 # How many times as long work takes off its rack, unless settings tell.
 SPREAD_FACTOR = 3.0
 # Share of accelerators in use under which waiting for a rack is pointless.
@@ -86,12 +90,14 @@
     :param evictions: runs to stop because others go first.
     :param claims: capacity kept, to be given to the next planning.
     :param waits: units that do not start whole.
+    :param questions: what advisers should decide.
     """
 
     starts: Sequence[RunStart]
     evictions: Sequence[Eviction]
     claims: Mapping[UnitKey, Claim]
     waits: Sequence[Wait] = ()
+    questions: Sequence[Question] = ()
 
     @property
     def stops(self) -> list[TaskKey]:
@@ -106,6 +112,7 @@
     :param runs: what is known of the runs that occupy workers.
     :param claims: claims of the plan before.
     :param spread_factor: how many times as long work takes off its rack.
+    :param approved: workers that may run a step whose queue has an adviser.
     """
 
     def __init__(
@@ -117,7 +124,9 @@
         claims: Mapping[UnitKey, Claim],
         now_ms: int,
         spread_factor: float = SPREAD_FACTOR,
+        approved: Mapping[UnitKey, AbstractSet[LifeId]] = NO_APPROVALS,
     ) -> None:
+        self.approved = approved
         self.spread_factor = spread_factor
         self.state = state
         self.slots = slots
@@ -148,6 +157,7 @@
             evictions=self.evictions,
             claims=self.claims,
             waits=self.waits(),
+            questions=self.questions(),
         )
 
     def waits(self) -> list[Wait]:
@@ -234,7 +244,15 @@
         self.starts.append(unit.start(index, slot.worker.life))
 
     def candidates(self, unit: Unit) -> list[Slot]:
-        """Return the open workers of the service."""
+        """Return the open workers that may run tasks of a unit."""
+        suitable = self.suitable_slots(unit)
+        if unit.job.queue.advice is None:
+            return suitable
+        approved = self.approved.get(unit.key, frozenset())
+        return [slot for slot in suitable if slot.worker.life in approved]
+
+    def suitable_slots(self, unit: Unit) -> list[Slot]:
+        """Return the open workers of the service, whoever approves them."""
         return [
             slot
             for slot in self.slots.values()
@@ -243,6 +261,39 @@
             and slot.suits(unit.step.spec)
         ]
 
+    def questions(self) -> list[Question]:
+        """Return what to ask advisers, the most pressing step first."""
+        started = {
+            (start.task.job, start.task.occurrence, start.task.step)
+            for start in self.starts
+        }
+        return [
+            Question(
+                unit=unit.key,
+                advice=unit.job.queue.advice,
+                workers=[
+                    (slot.worker.life, slot.worker.worker)
+                    for slot in self.by_suitability(unit)
+                ],
+            )
+            for unit in self.units
+            if unit.job.queue.advice is not None
+            and not (unit.step.spec.gang and unit.key in started)
+        ]
+
+    def by_suitability(self, unit: Unit) -> list[Slot]:
+        """Return workers near the data first, then the emptiest."""
+        spec = unit.step.spec
+        return sorted(
+            self.suitable_slots(unit),
+            key=lambda slot: (
+                bool(spec.data_rack) and slot.worker.rack != spec.data_rack,
+                spec.same_rack and slot.worker.rack,
+                -slot.room(spec),
+                slot.worker.life,
+            ),
+        )
+
     def is_idle(self, slots: Iterable[Slot]) -> bool:
         """Whether most accelerators of some workers are free."""
         free = 0
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -147,6 +147,10 @@
     def count_answer(self, answer: StartAnswer) -> None:
         """Count the answer to an order."""
 
+    @abstractmethod
+    def forget_ticket(self, start: RunStart) -> None:
+        """Ask again for a ticket that a worker did not take."""
+
     @abstractmethod
     def replan(self) -> None:
         """Look for runs to start soon."""
@@ -211,7 +215,14 @@
             held.late_until_s = now_s + max(0.0, LATE_ORDER_S - age_s)
             self.runs[start.task] = held
 
-    def order(self, start: RunStart, payload: str, checkpoint: str) -> None:
+    def order(
+        self,
+        start: RunStart,
+        *,
+        payload: str,
+        checkpoint: str,
+        ticket: str = '',
+    ) -> None:
         """Order a run that is numbered durably."""
         now_s = self.owner.clock.age_s()
         held = HeldRun(start, RunPhase.ORDERED, now_s)
@@ -223,6 +234,7 @@
             checkpoint=checkpoint,
             deadline_ms=self.clock.grant(now_s, START_SPAN_MS),
             fencing_token=self.owner.term,
+            ticket=ticket,
         )
         self._spawn(self._order(held, order))
 
@@ -558,6 +570,10 @@
         rest_s = REFUSAL_REST_S
         if answer is StartAnswer.UNHEALTHY:
             rest_s = UNHEALTHY_REST_S
+        if answer is StartAnswer.NO_TICKET:
+            # That says nothing of the worker's health.
+            rest_s = 0.0
+            self.owner.forget_ticket(held.start)
         self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
         while self._is_current(held):
             ends = [self._end_of(held, EndKind.NEVER_STARTED)]
--- a/mangotrail/graphs/worker_port.py
+++ b/mangotrail/graphs/worker_port.py
@@ -31,6 +31,7 @@
     :param deadline_ms: time on the worker's clock after which the order has
         no effect; the lease of the worker lasts at least as long.
     :param fencing_token: term of the leader that orders.
+    :param ticket: approval of an adviser, empty if none is needed.
     """
 
     task: TaskKey
@@ -39,6 +40,7 @@
     checkpoint: str
     deadline_ms: int
     fencing_token: int
+    ticket: str = ''
 
 
 class ListedRun(FrozenStruct, frozen=True, kw_only=True):
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -1,7 +1,7 @@
 """Workers and a replicated log that fail on demand, on virtual time."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 from typing import Any
 
@@ -203,6 +203,8 @@
         self.changed = asyncio.Event()
         self.is_alive = True
         self.overload = 0
+        # Decides on the tickets of starts; all are taken without it.
+        self.takes: Callable[[StartOrder, WorkerId], bool] | None = None
 
     def clock_ms(self) -> int:
         """Return the own steady clock, which is one percent slow."""
@@ -221,6 +223,8 @@
             return StartAnswer.OUTDATED_RUN
         if self.clock_ms() > order.deadline_ms:
             return StartAnswer.TOO_LATE
+        if self.takes is not None and not self.takes(order, self.spec.worker):
+            return StartAnswer.NO_TICKET
         run = FakeRun(order, self.clock.age_s())
         self.runs[order.task] = run
         self.started.append((order.task, order.run, run.begun_s))
--- /dev/null
+++ b/tests/test_graph_advice.py
@@ -0,0 +1,198 @@
+"""Guards against starts without a ticket and steps that wait for ever."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Mapping, Sequence
+
+import msgspec
+import pytest
+
+from mangotrail._graphs import (
+    AdviceSpec,
+    JobPhase,
+    SetConfiguration,
+    StepSpec,
+    SubmitGraph,
+)
+from mangotrail.clock import ManualClock
+from mangotrail.graphs.advice import (
+    WORKERS_A_QUESTION,
+    AdviceBook,
+    AdviceFailure,
+    Adviser,
+    Question,
+)
+from mangotrail.graphs.units import UnitKey
+from mangotrail.graphs.worker_port import StartOrder
+from mangotrail.ids import JobId, LifeId, WorkerId
+from tests.graph_fakes import (
+    NORMAL,
+    apply,
+    configuration,
+    graph_spec,
+    queue_spec,
+    step_spec,
+)
+from tests.test_graph_life_cycle import Cluster
+from tests.virtual_time import run_virtual
+
+ADVICE = AdviceSpec(decision_ms=50, period_ms=5, validity_ms=4_000)
+UNIT: UnitKey = (JobId('a'), 0, 0)
+
+
+class FakeAdviser(Adviser):
+    """Approves some workers; its tickets run out.
+
+    :param approves: ids of the workers that may run any step.
+    :param failures: answers before the first decision.
+    """
+
+    def __init__(
+        self, approves: set[str], failures: Sequence[AdviceFailure] = ()
+    ) -> None:
+        self.approves = approves
+        self.failures = list(failures)
+        self.asked: list[Sequence[WorkerId]] = []
+        self.valid_until: dict[str, float] = {}
+        self.busy = 0
+
+    async def ask(
+        self, unit: UnitKey, workers: Sequence[WorkerId], advice: AdviceSpec
+    ) -> Mapping[WorkerId, str] | AdviceFailure:
+        """Decide after a while."""
+        assert not self.busy, 'one call at a time'
+        self.busy += 1
+        self.asked.append(workers)
+        await asyncio.sleep((50 + 5 * len(workers)) / 1000)
+        self.busy -= 1
+        if self.failures:
+            return self.failures.pop()
+        now_s = asyncio.get_running_loop().time()
+        tickets = {}
+        for worker in workers:
+            if worker in self.approves:
+                job, occurrence, step = unit
+                ticket = f'{job}.{occurrence}.{step}/{worker}/{now_s}'
+                tickets[worker] = ticket
+                self.valid_until[ticket] = now_s + advice.validity_ms / 1000
+        return tickets
+
+    def takes(self, order: StartOrder, worker: WorkerId) -> bool:
+        """Whether a worker takes a start."""
+        task = order.task
+        stem = f'{task.job}.{task.occurrence}.{task.step}/{worker}/'
+        now_s = asyncio.get_running_loop().time()
+        return (
+            order.ticket.startswith(stem)
+            and self.valid_until.get(order.ticket, 0) > now_s
+        )
+
+
+class TestAdvisedJobs:
+    """Jobs of a queue whose workers an adviser decides on."""
+
+    def play(
+        self, adviser: FakeAdviser, *steps: StepSpec, seconds: float = 30
+    ) -> Cluster:
+        """Play one job on workers that insist on tickets."""
+        cluster = Cluster(seed=1, faults=0.0, adviser=adviser)
+        for worker in cluster.ports.all:
+            worker.takes = adviser.takes
+        held = msgspec.structs.replace(
+            configuration(2), queues=(queue_spec(NORMAL, 1, advice=ADVICE),)
+        )
+        apply(cluster.state, SetConfiguration(configuration=held))
+
+        async def course() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, SubmitGraph(graph=graph_spec('job', *steps)))
+            cluster.leader.replan()
+            await asyncio.sleep(seconds)
+
+        run_virtual(course(), cluster.loop)
+        return cluster
+
+    def started(self, cluster: Cluster) -> Counter[str]:
+        """Return the number of starts on each worker."""
+        return Counter({
+            worker.spec.worker: len(worker.started)
+            for worker in cluster.ports.all
+            if worker.started
+        })
+
+    def test_only_approved(self) -> None:
+        """Tasks start on approved workers only, and all of them do."""
+        adviser = FakeAdviser({'w1', 'w5'})
+        cluster = self.play(adviser, step_spec(24, 1))
+        assert set(self.started(cluster)) == {'w1', 'w5'}
+        assert cluster.state.jobs[JobId('job')].phase is JobPhase.COMPLETED
+
+    def test_gang(self) -> None:
+        """A gang waits for tickets of all its workers and starts whole."""
+        adviser = FakeAdviser({'w1', 'w2', 'w6'})
+        cluster = self.play(adviser, step_spec(3, 8, gang=True))
+        assert self.started(cluster) == Counter({'w1': 1, 'w2': 1, 'w6': 1})
+
+    def test_tickets_run_out(self) -> None:
+        """A later step, and tasks that wait long, get new tickets."""
+        adviser = FakeAdviser({'w3'})
+        cluster = self.play(
+            adviser, step_spec(40, 4), step_spec(2, 1, after=(0,)), seconds=90
+        )
+        assert self.started(cluster) == Counter({'w3': 42})
+        assert cluster.state.jobs[JobId('job')].phase is JobPhase.COMPLETED
+
+    @pytest.mark.parametrize('failure', AdviceFailure)
+    def test_failures(self, failure: AdviceFailure) -> None:
+        """An adviser that is busy or silent is asked again, not at once."""
+        adviser = FakeAdviser({'w0'}, failures=[failure] * 5)
+        cluster = self.play(adviser, step_spec(1, 1))
+        assert self.started(cluster) == Counter({'w0': 1})
+        assert len(adviser.asked) < 10
+
+    def test_nobody_approved(self) -> None:
+        """Without an approved worker nothing starts, and questions end."""
+        adviser = FakeAdviser(set())
+        cluster = self.play(adviser, step_spec(1, 1))
+        assert not self.started(cluster)
+        assert len(adviser.asked) == 1
+
+
+class TestBook:
+    """What is remembered of answers."""
+
+    async def test_batches(self) -> None:
+        """Each worker is asked about once, in questions of bounded size."""
+        adviser = FakeAdviser({'w40'})
+        book = AdviceBook(adviser=adviser, clock=ManualClock(now_s=5))
+        question = Question(
+            unit=UNIT,
+            advice=ADVICE,
+            workers=[
+                (LifeId(f'w{number}@1'), WorkerId(f'w{number}'))
+                for number in range(50)
+            ],
+        )
+        assert not await book.ask(question)
+        assert await book.ask(question)
+        assert [len(held) for held in adviser.asked] == [
+            WORKERS_A_QUESTION,
+            50 - WORKERS_A_QUESTION,
+        ]
+        assert not book.next_workers(question)
+        assert book.approved() == {UNIT: {LifeId('w40@1')}}
+
+    async def test_expiry(self) -> None:
+        """A ticket is not used up to its last moment."""
+        clock = ManualClock(now_s=5)
+        book = AdviceBook(adviser=FakeAdviser({'w1'}), clock=clock)
+        worker = (LifeId('w1@1'), WorkerId('w1'))
+        question = Question(unit=UNIT, advice=ADVICE, workers=[worker])
+        await book.ask(question)
+        assert book.ticket(UNIT, worker[0])
+        clock.now_s += 2.6
+        assert not book.ticket(UNIT, worker[0])
+        assert book.next_workers(question) == [worker]
+        book.keep_only(set())
+        assert not book.tickets
--- a/tests/test_graph_control.py
+++ b/tests/test_graph_control.py
@@ -6,6 +6,7 @@
 import pytest
 
 from mangotrail._graphs import (
+    AdviceSpec,
     Cancel,
     ChangeZone,
     CountPending,
@@ -31,6 +32,8 @@
     queue_spec,
 )
 
+ADVICE = AdviceSpec(decision_ms=1, period_ms=1, validity_ms=1000)
+
 
 class SureLeader:
     """Leader with or without authority."""
@@ -101,7 +104,7 @@
 
     async def test_advised(self, control: GraphControl) -> None:
         """A job that cannot be served is refused at once and never runs."""
-        queues = (queue_spec(NORMAL, 1, advised=True),)
+        queues = (queue_spec(NORMAL, 1, advice=ADVICE),)
         await control.handle(put(1, queues=queues))
         reply = await control.handle(Submit(graph=graph_spec('job')))
         assert reply.verdict is Verdict.REFUSED
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -21,6 +21,7 @@
     SubmitGraph,
     TaskKey,
 )
+from mangotrail.graphs.advice import Adviser
 from mangotrail.graphs.leader import GraphLeader, WallClock
 from mangotrail.graphs.records import StepState
 from mangotrail.graphs.telemetry import Telemetry
@@ -49,9 +50,13 @@
     """A leader, its successors and workers that fail.
 
     :param faults: share of the orders without an answer.
+    :param adviser: approves workers, if there is one.
     """
 
-    def __init__(self, *, seed: int, faults: float) -> None:
+    def __init__(
+        self, *, seed: int, faults: float, adviser: Adviser | None = None
+    ) -> None:
+        self.adviser = adviser
         self.loop = VirtualLoop()
         self.clock = VirtualClock(self.loop)
         self.random = Random(seed)
@@ -81,6 +86,7 @@
             clock=self.clock,
             wall=WallClock(self.clock),
             telemetry=Telemetry(),
+            adviser=self.adviser,
         )
         self.task = asyncio.create_task(self.leader.run())
 
