Admit learners while too few disks are left to commit anything

An entry needs three disks, two were left, a change of the group needs a committed entry of the term, so the group could neither commit nor admit anybody, for ever.

Ruled out: acknowledging on two disks while the group is small, which the loss of two would undo; a change of voters before an entry of the term is committed, which may split the group.

Change: while fewer members answer than a commit needs disks, a configuration that keeps all voters and only changes learners is taken at once. Their copies then count.

--- a/mangotrail/agreement.py
+++ b/mangotrail/agreement.py
@@ -328,11 +328,17 @@
             )
 
     def config_refusal(self, wanted: GroupConfig, now_s: float) -> str:
-        """Return why a configuration must not be appended now, or nothing."""
-        if self.commit < self.no_op_index:
-            return 'no entry of the term is committed yet'
-        if self.log.config_index > self.commit:
-            return 'another change is not committed yet'
+        """Return why a configuration must not be appended now, or nothing.
+
+        While too few members answer for any commit, learners may come at
+        once: they have no votes, and the copies that lack can be theirs.
+        """
+        lacks_copies = len(self.caught_up(now_s)) < self.min_copies
+        if not (lacks_copies and self.keeps_voters(wanted)):
+            if self.commit < self.no_op_index:
+                return 'no entry of the term is committed yet'
+            if self.log.config_index > self.commit:
+                return 'another change is not committed yet'
         return config_refusal(
             held=self.config,
             wanted=wanted,
@@ -340,6 +346,14 @@
             caught_up=self.caught_up(now_s),
         )
 
+    def keeps_voters(self, wanted: GroupConfig) -> bool:
+        """Whether the voters stay those of all configurations in the log."""
+        held = [self.log.config_at(self.commit)]
+        held.extend(
+            config for index, config in self.log.configs if index > self.commit
+        )
+        return all(config.voters == wanted.voters for config in held)
+
     def advance_commit(self, lead: Replication) -> None:
         """Commit what a majority holds durably in the own term."""
         index = min(
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -681,6 +681,34 @@
         )
         assert agreement.receive(third, 5).committed
 
+    def test_learners_before_a_commit(self) -> None:
+        """Two founders that need a third disk may take learners in.
+
+        One of three founders lost its disk before others had joined; the
+        two that were left could commit nothing for ever.
+        """
+        agreement = member(min_copies=3)
+        elected = elect(agreement, 5)
+        agreement.synced(elected.write, 5)
+        agreement.receive(accept(agreement, 1, 5), 5)
+        learner = GroupMember(member=MemberId('d'), instance=InstanceId('on-d'))
+        held = agreement.config
+        with pytest.raises(MembershipError):
+            agreement.propose_config(
+                GroupConfig(voters=held.voters[:2], learners=(learner,)), 5
+            )
+        agreement.propose_config(
+            GroupConfig(voters=held.voters, learners=(learner,)), 5
+        )
+        effects = agreement.tick(5)
+        agreement.synced(effects.write, 5)
+        agreement.receive(accept(agreement, 2, 5), 5)
+        copied = msgspec.structs.replace(
+            accept(agreement, 2, 5), sender=MemberId('d')
+        )
+        assert agreement.receive(copied, 5).committed
+        assert agreement.commit == 2
+
     def test_timing(self) -> None:
         """Authority longer than the refusal of votes allows two leaders."""
         with pytest.raises(SettingsError):
