Acknowledge no ends to a worker that was silent; a module for held runs

Cause: found while reading the change. After a silence another life of the worker may answer, and it counts its ends anew: the first renewal acknowledged the ends of the life before to it, and it forgot its own ends that nobody had noted. A task that was done there would have run again.

Ruled out: leaving it to the rest that a life gets while the one before is unsettled, which covers workers with runs only.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -32,8 +32,9 @@
 )
 from mangotrail.graphs.eviction import RunInfo
 from mangotrail.graphs.group import GraphReplica
+from mangotrail.graphs.held_run import RunPhase
 from mangotrail.graphs.planning import Claim, Plan, Planner
-from mangotrail.graphs.session import RunPhase, Session, SessionOwner
+from mangotrail.graphs.session import Session, SessionOwner
 from mangotrail.graphs.slots import Slot
 from mangotrail.graphs.suspicion import (
     Suspicion,
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -9,7 +9,6 @@
 import asyncio
 from abc import ABC, abstractmethod
 from collections.abc import Coroutine, Mapping, Sequence
-from enum import Enum
 from math import inf
 from typing import Any
 
@@ -19,7 +18,7 @@
 from mangotrail._graphs import EndKind, RunEnd, RunStart, TaskKey, WorkerSpec
 from mangotrail.clock import Clock
 from mangotrail.errors import SessionFaultError
-from mangotrail.graphs.suspicion import WARM_UP_S
+from mangotrail.graphs.held_run import HeldRun, RunPhase
 from mangotrail.graphs.worker_clock import (
     CLOCK_SLOWNESS,
     EARLIER_GRANT_MS,
@@ -68,52 +67,6 @@
 ))
 
 
-class RunPhase(Enum):
-    """How far the order of a run is."""
-
-    ADOPTED = 'adopted'
-    ORDERED = 'ordered'
-    PRESENT = 'present'
-    UNSURE = 'unsure'
-    STOPPING = 'stopping'
-    STOPPED = 'stopped'
-
-
-class HeldRun:
-    """A run on this worker, as far as this leader knows.
-
-    :param start: the run as it was numbered.
-    """
-
-    def __init__(self, start: RunStart, phase: RunPhase, now_s: float) -> None:
-        self.start = start
-        self.phase = phase
-        self.since_s = now_s
-        self.stop_answered_s = 0.0
-        self.checkpoint = ''
-        self.idle_since_s: float | None = None
-        self.idle_s: float | None = None
-        self.started_ms = 0
-        # Whether this session saw the run on the worker.
-        self.is_listed = False
-        # Until when the order may still be carried out, maybe by a later
-        # life of the worker; in the past once it has been.
-        self.late_until_s = inf
-
-    def note_usage(self, usage: int | None, now_s: float) -> None:
-        """Note for how long listings have shown the run using no processor."""
-        warm = self.phase is RunPhase.PRESENT and (
-            now_s - self.since_s >= WARM_UP_S
-        )
-        if usage is None or usage > 0 or not warm:
-            self.idle_since_s = None
-            self.idle_s = None
-            return
-        if self.idle_since_s is None:
-            self.idle_since_s = now_s
-        self.idle_s = now_s - self.idle_since_s
-
-
 class SessionOwner(ABC):
     """What a session needs of the leader."""
 
@@ -281,7 +234,8 @@
         self.hurry = False
         listing = await self.port.renew(
             fencing_token=self.owner.term,
-            acknowledged=self.acknowledged,
+            # A later life counts its ends anew and would forget them.
+            acknowledged=0 if self.is_missing else self.acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=wait_ms,
         )
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -326,6 +326,46 @@
         cluster.check()
 
 
+class TestLaterLife:
+    """A worker that returns under its id."""
+
+    def test_ends_stay_listed(self) -> None:
+        """A later life counts its ends anew; none is acknowledged unseen.
+
+        The session of the life before acknowledged its own ends to the later
+        life, which then forgot ends that nobody had noted.
+        """
+        cluster = Cluster(seed=6, faults=0.0)
+        told: list[tuple[str, str, int]] = []
+        original = FakePort.renew
+
+        async def renew(port: FakePort, **kwargs: Any) -> Any:
+            worker = port.worker()
+            if worker is not None:
+                lives = (port.spec.life, worker.spec.life)
+                told.append((*lives, kwargs['acknowledged']))
+            return await original(port, **kwargs)
+
+        async def play() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('first', step_spec(8, 8)))
+            cluster.leader.replan()
+            await asyncio.sleep(3)
+            cluster.ports.at['10.0.0.1:80'].crash()
+            await asyncio.sleep(0.3)
+            cluster.ports.add([worker_spec(1, born_ms=2)])
+            await asyncio.sleep(3)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(FakePort, 'renew', renew)
+            run_virtual(play(), cluster.loop)
+        others = [number for own, other, number in told if own != other]
+        assert others
+        assert not any(others)
+        assert any(number for own, other, number in told if own == other)
+
+
 class TestTakeover:
     """A leader that takes over runs."""
 
--- a/tests/test_graph_suspicion.py
+++ b/tests/test_graph_suspicion.py
@@ -1,7 +1,7 @@
 """Guards against workers that fail or hold up whatever they are given."""
 
 from mangotrail._graphs import RunStart, TaskKey
-from mangotrail.graphs.session import HeldRun, RunPhase
+from mangotrail.graphs.held_run import HeldRun, RunPhase
 from mangotrail.graphs.suspicion import (
     FAILURE_SPAN_S,
     REST_S,
