--- a/mangotrail/graphs/held_run.py
+++ b/mangotrail/graphs/held_run.py
@@ -3,8 +3,9 @@
 from enum import Enum
 from math import inf
 
-from mangotrail._graphs import RunStart
+from mangotrail._graphs import EndKind, RunEnd, RunStart
 from mangotrail.graphs.suspicion import WARM_UP_S
+from mangotrail.graphs.worker_port import ListedEnd
 
 
 class RunPhase(Enum):
@@ -51,3 +52,26 @@
         if self.idle_since_s is None:
             self.idle_since_s = now_s
         self.idle_s = now_s - self.idle_since_s
+
+    def listed_end(self, listed: ListedEnd) -> RunEnd:
+        """Return the end that a worker lists."""
+        return RunEnd(
+            task=self.start.task,
+            run=self.start.run,
+            end=listed.end,
+            checkpoint=listed.checkpoint or self.checkpoint,
+        )
+
+    def concluded(self, end: EndKind) -> RunEnd:
+        """Return an end that no worker lists.
+
+        A run that was present has started, so that it was lost.
+        """
+        if end is EndKind.NEVER_STARTED and self.phase is RunPhase.PRESENT:
+            end = EndKind.LOST
+        return RunEnd(
+            task=self.start.task,
+            run=self.start.run,
+            end=end,
+            checkpoint=self.checkpoint,
+        )
--- /dev/null
+++ b/mangotrail/graphs/later_life.py
@@ -0,0 +1,106 @@
+"""What a later life of a worker may run of the one before.
+
+A life under the same id takes the orders that were meant for the one before.
+What was not seen listed on the worker may therefore run on the later life, and
+starts nowhere else before that is ruled out.
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable, Sequence
+from math import inf
+
+from mangotrail._graphs import EndKind, RunEnd, TaskKey
+from mangotrail.graphs.held_run import HeldRun
+from mangotrail.graphs.session_owner import (
+    ABSENT_S,
+    LATE_ORDER_S,
+    RETRY_S,
+    SessionOwner,
+)
+from mangotrail.graphs.worker_clock import CLOCK_SLOWNESS, EARLIER_GRANT_MS
+from mangotrail.graphs.worker_port import Listing, Silence, WorkerPort
+
+Settle = Callable[[Sequence[RunEnd]], Awaitable[bool]]
+
+
+class LaterLife:
+    """Clears a later life of the runs of the one before.
+
+    :param port: connection to the address that both share.
+    :param runs: runs that were ordered, but not seen listed.
+    :param settle: makes ends durable; False if that failed.
+    """
+
+    def __init__(
+        self,
+        *,
+        port: WorkerPort,
+        owner: SessionOwner,
+        runs: Iterable[HeldRun],
+        settle: Settle,
+    ) -> None:
+        self.port = port
+        self.owner = owner
+        self.runs = {held.start.task: held for held in runs}
+        self.settle = settle
+        self.stopped: set[TaskKey] = set()
+        self.silent_since_s = inf
+
+    async def clear(self) -> None:
+        """Stop the runs; return once none can run, or authority is lost."""
+        while self.runs and self.owner.may_order():
+            await self._stop()
+            sent_s = self.owner.clock.age_s()
+            listing = await self.port.renew(
+                fencing_token=self.owner.term,
+                # Its ends are for its own session to acknowledge.
+                acknowledged=0,
+                deadline_ms=None,
+                wait_ms=0,
+            )
+            if isinstance(listing, Silence):
+                self.silent_since_s = min(self.silent_since_s, sent_s)
+                self._forget_silent(listing)
+            elif not listing.is_same_worker:
+                # A worker of another id refuses all these orders.
+                self.runs.clear()
+            else:
+                self.silent_since_s = inf
+                await self._settle_listed(listing)
+            if self.runs:
+                await asyncio.sleep(RETRY_S)
+
+    async def _stop(self) -> None:
+        """Have the later life refuse the orders and end what it started."""
+        for task, held in self.runs.items():
+            if task not in self.stopped and await self.port.stop(
+                task, held.start.run, self.owner.term
+            ):
+                self.stopped.add(task)
+
+    def _forget_silent(self, silence: Silence) -> None:
+        """Forget what cannot run on a later life that is silent as well."""
+        now_s = self.owner.clock.age_s()
+        silent_s = now_s - self.silent_since_s
+        lease_s = (self.owner.timing.lease_ms + EARLIER_GRANT_MS) / 1000
+        over_s = lease_s / (1 - CLOCK_SLOWNESS)
+        gone = silence is Silence.NO_PROCESS and silent_s >= ABSENT_S
+        for task, held in list(self.runs.items()):
+            late_s = min(held.late_until_s, held.since_s + LATE_ORDER_S)
+            if late_s <= now_s and (gone or silent_s > over_s):
+                del self.runs[task]
+
+    async def _settle_listed(self, listing: Listing) -> None:
+        """Settle the runs whose stop the later life has answered."""
+        running = {(held.task, held.run) for held in listing.running}
+        ended = {(held.task, held.run): held for held in listing.ends}
+        ends = []
+        for task, held in self.runs.items():
+            key = (task, held.start.run)
+            if key in ended:
+                ends.append(held.listed_end(ended[key]))
+            elif task in self.stopped and key not in running:
+                ends.append(held.concluded(EndKind.LOST))
+        if ends and await self.settle(ends):
+            for end in ends:
+                del self.runs[end.task]
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -34,7 +34,8 @@
 from mangotrail.graphs.group import GraphReplica
 from mangotrail.graphs.held_run import RunPhase
 from mangotrail.graphs.planning import Claim, Plan, Planner
-from mangotrail.graphs.session import Session, SessionOwner
+from mangotrail.graphs.session import Session
+from mangotrail.graphs.session_owner import SessionOwner
 from mangotrail.graphs.slots import Slot
 from mangotrail.graphs.suspicion import (
     Suspicion,
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -7,23 +7,23 @@
 """
 
 import asyncio
-from abc import ABC, abstractmethod
-from collections.abc import Coroutine, Mapping, Sequence
+from collections.abc import Coroutine, Sequence
 from math import inf
 from typing import Any
 
 from loguru import logger
 
-from mangotrail._graph_settings import GraphTiming
 from mangotrail._graphs import EndKind, RunEnd, RunStart, TaskKey, WorkerSpec
-from mangotrail.clock import Clock
 from mangotrail.errors import SessionFaultError
 from mangotrail.graphs.held_run import HeldRun, RunPhase
-from mangotrail.graphs.worker_clock import (
-    CLOCK_SLOWNESS,
-    EARLIER_GRANT_MS,
-    WorkerClock,
+from mangotrail.graphs.later_life import LaterLife
+from mangotrail.graphs.session_owner import (
+    ABSENT_S,
+    LATE_ORDER_S,
+    RETRY_S,
+    SessionOwner,
 )
+from mangotrail.graphs.worker_clock import WorkerClock
 from mangotrail.graphs.worker_port import (
     Listing,
     Silence,
@@ -37,19 +37,12 @@
 # A worker that has not answered for this long gets no new runs: one renewal
 # with its wait, and half a second for a slow network.
 SILENT_S = 1.7
-RETRY_S = 0.1
-# A worker at whose address nothing listens for this long has ended, and with
-# it all its runs. A restart that takes its address answers as another life.
-ABSENT_S = 0.6
 # A start that the worker has not begun by then is refused by the worker. Two
 # round trips between regions and the queueing of a gang's members fit in.
 START_SPAN_MS = 1_500
 # Calls to one worker at a time, so that a wide step does not open many
 # connections.
 PARALLEL_ORDERS = 4
-# An order without an answer may be carried out up to 12 s later, so the
-# platform says; one more second for the sending of a numbered order.
-LATE_ORDER_S = 13.0
 # A worker that refused an order for being unhealthy rests this long.
 UNHEALTHY_REST_S = 2.0
 # One that refused for any other reason would be chosen again at once, in the
@@ -67,48 +60,6 @@
 ))
 
 
-class SessionOwner(ABC):
-    """What a session needs of the leader."""
-
-    clock: Clock
-    timing: GraphTiming
-    term: int
-
-    @abstractmethod
-    def may_order(self) -> bool:
-        """Whether this leader still has authority."""
-
-    @abstractmethod
-    def wall_ms(self) -> int:
-        """Return estimated Unix milliseconds."""
-
-    @abstractmethod
-    async def end_runs(
-        self, session: 'Session', ends: Sequence[RunEnd]
-    ) -> bool:
-        """Make ends durable; False if that failed."""
-
-    @abstractmethod
-    async def end_life(self, session: 'Session') -> None:
-        """Note that the worker's life is over."""
-
-    @abstractmethod
-    def step_aside(self) -> None:
-        """Give up leading, because a later leader was seen."""
-
-    @abstractmethod
-    def count_answer(self, answer: StartAnswer) -> None:
-        """Count the answer to an order."""
-
-    @abstractmethod
-    def forget_ticket(self, start: RunStart) -> None:
-        """Ask again for a ticket that a worker did not take."""
-
-    @abstractmethod
-    def replan(self) -> None:
-        """Look for runs to start soon."""
-
-
 class Session:
     """Orders to one life of a worker and what it lists.
 
@@ -136,11 +87,8 @@
         self.is_over = False
         # Another life has answered, and what it may run is being settled.
         self.is_ending = False
-        self.is_leaving = False
-        self.leaves_at_s: float | None = None
         self.orders = asyncio.Semaphore(PARALLEL_ORDERS)
         self.tasks: set[asyncio.Task[None]] = set()
-        self.hurry = False
         self.fault: BaseException | None = None
 
     def is_usable(self, now_s: float) -> bool:
@@ -180,6 +128,10 @@
         now_s = self.owner.clock.age_s()
         held = HeldRun(start, RunPhase.ORDERED, now_s)
         self.runs[start.task] = held
+        if self.is_ending:
+            # The life ended while the run was numbered. The order would reach
+            # the life that followed; the run is lost with this one instead.
+            return
         order = StartOrder(
             task=start.task,
             run=start.run,
@@ -228,10 +180,9 @@
         # worker is only asked what it runs until it answers again.
         if self.clock.is_known and not self.is_missing:
             deadline_ms = self.clock.grant(now_s, self.owner.timing.lease_ms)
-        wait_ms = RENEWAL_WAIT_MS if self.is_held and not self.hurry else 0
+        wait_ms = RENEWAL_WAIT_MS if self.is_held else 0
         if deadline_ms is None:
             wait_ms = 0
-        self.hurry = False
         listing = await self.port.renew(
             fencing_token=self.owner.term,
             # A later life counts its ends anew and would forget them.
@@ -276,111 +227,34 @@
                 self.clock.is_over(now_s),
                 len(lost),
             )
-            await self._settle([
-                self._end_of(held, EndKind.LOST) for held in lost
-            ])
+            await self._settle([held.concluded(EndKind.LOST) for held in lost])
             self.is_held = False
         await asyncio.sleep(RETRY_S)
 
     async def _finish(self, listing: Listing) -> None:
-        """Settle what a later life may run, then end.
-
-        A life under the same id takes the orders that were meant for this
-        one. What this session has not seen on the worker may therefore run
-        there, and starts nowhere else before that is ruled out.
-        """
+        """End, once nothing of this life can run on the one that followed."""
         logger.info(
             'The life {} of a worker is over, same_id={}',
             self.worker.life,
             listing.is_same_worker,
         )
         self.is_ending = True
-        open_runs = {
-            task: held for task, held in self.runs.items() if not held.is_listed
-        }
-        for held in open_runs.values():
+        unseen = [held for held in self.runs.values() if not held.is_listed]
+        for held in unseen:
             # Keeps orders that are not yet sent from leaving.
             held.phase = RunPhase.STOPPING
-        stopped: set[TaskKey] = set()
-        silent_since_s = inf
-        while listing.is_same_worker and open_runs and self.owner.may_order():
-            await self._stop_on_successor(open_runs, stopped)
-            sent_s = self.owner.clock.age_s()
-            answer = await self.port.renew(
-                fencing_token=self.owner.term,
-                acknowledged=0,
-                deadline_ms=None,
-                wait_ms=0,
+        if listing.is_same_worker:
+            later = LaterLife(
+                port=self.port,
+                owner=self.owner,
+                runs=unseen,
+                settle=self._settle,
             )
-            if isinstance(answer, Silence):
-                silent_since_s = min(silent_since_s, sent_s)
-                self._forget_silent(open_runs, answer, silent_since_s)
-            else:
-                silent_since_s = inf
-                listing = answer
-                await self._settle_listed(open_runs, stopped, listing)
-            if open_runs:
-                await asyncio.sleep(RETRY_S)
+            await later.clear()
         if self.owner.may_order():
             self.is_over = True
             await self.owner.end_life(self)
 
-    async def _stop_on_successor(
-        self, open_runs: Mapping[TaskKey, HeldRun], stopped: set[TaskKey]
-    ) -> None:
-        """Have a later life refuse the orders that were meant for this one."""
-        for task, held in open_runs.items():
-            if task not in stopped and await self.port.stop(
-                task, held.start.run, self.owner.term
-            ):
-                stopped.add(task)
-
-    def _forget_silent(
-        self,
-        open_runs: dict[TaskKey, HeldRun],
-        silence: Silence,
-        silent_since_s: float,
-    ) -> None:
-        """Forget what cannot run on a later life that is silent as well."""
-        now_s = self.owner.clock.age_s()
-        silent_s = now_s - silent_since_s
-        lease_s = (self.owner.timing.lease_ms + EARLIER_GRANT_MS) / 1000
-        over_s = lease_s / (1 - CLOCK_SLOWNESS)
-        gone = silence is Silence.NO_PROCESS and silent_s >= ABSENT_S
-        for task, held in list(open_runs.items()):
-            late_s = min(held.late_until_s, held.since_s + LATE_ORDER_S)
-            if late_s <= now_s and (gone or silent_s > over_s):
-                del open_runs[task]
-
-    async def _settle_listed(
-        self,
-        open_runs: dict[TaskKey, HeldRun],
-        stopped: set[TaskKey],
-        listing: Listing,
-    ) -> None:
-        """Settle the runs whose stop a later life has answered."""
-        running = {(held.task, held.run) for held in listing.running}
-        ended = {(held.task, held.run): held for held in listing.ends}
-        ends = []
-        for task, held in list(open_runs.items()):
-            key = (task, held.start.run)
-            if key in ended:
-                ends.append(
-                    RunEnd(
-                        task=task,
-                        run=held.start.run,
-                        end=ended[key].end,
-                        checkpoint=ended[key].checkpoint,
-                    )
-                )
-            elif task not in stopped or key in running:
-                continue
-            else:
-                ends.append(self._end_of(held, EndKind.LOST))
-        if ends and await self._settle(ends):
-            for end in ends:
-                del open_runs[end.task]
-
     async def _take(self, listing: Listing, sent_s: float) -> None:
         """Compare what the worker lists with what is expected."""
         ends: list[RunEnd] = []
@@ -389,14 +263,7 @@
             newest = max(newest, listed_end.number)
             held = self.runs.get(listed_end.task)
             if held is not None and held.start.run == listed_end.run:
-                ends.append(
-                    RunEnd(
-                        task=listed_end.task,
-                        run=listed_end.run,
-                        end=listed_end.end,
-                        checkpoint=listed_end.checkpoint or held.checkpoint,
-                    )
-                )
+                ends.append(held.listed_end(listed_end))
         ended = {end.task for end in ends}
         present = set()
         for listed in listing.running:
@@ -415,7 +282,7 @@
             if held.phase is RunPhase.UNSURE and task not in ended:
                 self.stop(task)
         ends.extend(
-            self._end_of(held, EndKind.NEVER_STARTED)
+            held.concluded(EndKind.NEVER_STARTED)
             for task, held in self.runs.items()
             if task not in ended
             and (task, held.start.run) not in present
@@ -440,17 +307,6 @@
             return held.stop_answered_s < sent_s
         return False
 
-    def _end_of(self, held: HeldRun, end: EndKind) -> RunEnd:
-        was_present = held.phase is RunPhase.PRESENT
-        if end is EndKind.NEVER_STARTED and was_present:
-            end = EndKind.LOST
-        return RunEnd(
-            task=held.start.task,
-            run=held.start.run,
-            end=end,
-            checkpoint=held.checkpoint,
-        )
-
     async def _settle(self, ends: Sequence[RunEnd]) -> bool:
         """Make ends durable and forget the runs."""
         if not await self.owner.end_runs(self, ends):
@@ -530,7 +386,7 @@
             self.owner.forget_ticket(held.start)
         self.rests_until_s = max(self.rests_until_s, now_s + rest_s)
         while self._is_current(held):
-            ends = [self._end_of(held, EndKind.NEVER_STARTED)]
+            ends = [held.concluded(EndKind.NEVER_STARTED)]
             if await self._settle(ends):
                 return
 
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -269,6 +269,7 @@
             if held.timer is not None:
                 held.timer.cancel()
         self.runs.clear()
+        self.changed.set()
 
     def listing(self, acknowledged: int) -> Listing:
         """Return what a renewal lists."""
@@ -363,6 +364,9 @@
                     await worker.changed.wait()
             except TimeoutError:
                 pass
+        if not worker.is_alive:
+            # Its connections were reset.
+            return Silence.NO_ANSWER
         if self.worker() is not worker:
             return await self._silence()
         return msgspec.structs.replace(
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -147,11 +147,7 @@
         if kind == 'elect':
             self.elect()
         elif kind == 'crash' and worker.is_alive:
-            worker.crash()
-            number = int(worker.spec.worker.removeprefix('w'))
-            born_ms = worker.spec.born_ms + 1
-            self.ports.add([worker_spec(number, born_ms=born_ms)])
-            self.loop.call_later(1.0, self.announce, number, born_ms)
+            self.replace(worker, 1.0)
         elif kind == 'cut':
             self.ports.cut.add(worker.spec.address)
             span_s = self.random.uniform(0.5, 14)
@@ -162,6 +158,17 @@
             job = self.random.choice(list(self.state.jobs))
             apply(self.state, CancelGraph(job=job))
 
+    def replace(self, worker: FakeWorker, silent_s: float) -> None:
+        """End a life of a worker and begin the next under the same id.
+
+        :param silent_s: time until the first heartbeat of the next life.
+        """
+        worker.crash()
+        number = int(worker.spec.worker.removeprefix('w'))
+        born_ms = worker.spec.born_ms + 1
+        self.ports.add([worker_spec(number, born_ms=born_ms)])
+        self.loop.call_later(silent_s, self.announce, number, born_ms)
+
     def announce(self, number: int, born_ms: int) -> None:
         """Send a heartbeat of a new life."""
         beat = Heartbeat(
@@ -329,6 +336,36 @@
 class TestLaterLife:
     """A worker that returns under its id."""
 
+    @pytest.mark.parametrize('seed', range(20))
+    def test_often_replaced(self, seed: int) -> None:
+        """No start reaches a life that it was not planned for.
+
+        A start that was committed just before its session heard of the later
+        life was sent all the same, on top of what the later life got.
+        """
+        cluster = Cluster(seed=seed, faults=0.0)
+
+        async def replace() -> None:
+            while True:
+                await asyncio.sleep(cluster.random.uniform(0.02, 0.2))
+                worker = cluster.random.choice(list(cluster.ports.at.values()))
+                cluster.replace(worker, cluster.random.uniform(0.02, 0.3))
+
+        async def play() -> None:
+            watch = asyncio.create_task(cluster.watch())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            replacing = asyncio.create_task(replace())
+            for number in range(40):
+                cluster.submit(number)
+                await asyncio.sleep(cluster.random.uniform(0.02, 0.2))
+            replacing.cancel()
+            await asyncio.sleep(90)
+            watch.cancel()
+
+        run_virtual(play(), cluster.loop)
+        cluster.check()
+
     def test_ends_stay_listed(self) -> None:
         """A later life counts its ends anew; none is acknowledged unseen.
 
