Count the link to the control process as up only when calls can be sent

It shows a failure of test_lost_control_process_ends_the_wait and then a hang 55 tests later. The link took the TCP connection for its own, but nothing can be sent before the ZMTP handshake, so that a call sent at once was refused. The test then waited 20 s for that call and failed with its fake still open. When the garbage collector met the fake's context in a cycle, the weak references to its sockets were gone already, and the termination of the context waited for ever.

Change: the link waits for the event of the handshake, and reads the socket's events before a send, because libzmq looks for new connections only once a millisecond in a send.

--- a/mangotrail/link.py
+++ b/mangotrail/link.py
@@ -76,7 +76,7 @@
         link.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_MAX_MS)
         link.setsockopt(zmq.MAXMSGSIZE, MAX_FRAME_BYTES)
         link.setsockopt(zmq.IPV6, int(':' in self.address.host))
-        events = zmq.EVENT_CONNECTED | zmq.EVENT_DISCONNECTED
+        events = zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED
         monitor = link.get_monitor_socket(events)
         host = self.address.host
         host = f'[{host}]' if ':' in host else host
@@ -122,6 +122,9 @@
         try:
             if self._socket is None:
                 raise zmq.Again
+            # A send looks for new connections at most once a millisecond and
+            # fails on a link that has just come up; this read always looks.
+            self._socket.getsockopt(zmq.EVENTS)
             await self._socket.send(frame, zmq.NOBLOCK)
         except zmq.ZMQError as error:
             raise UnavailableError(
@@ -151,7 +154,9 @@
         with suppress(zmq.ContextTerminated):
             while True:
                 event = await recv_monitor_message(monitor)
-                self.connected = event['event'] == zmq.EVENT_CONNECTED
+                # TCP alone does not do: nothing can be sent before the
+                # handshake of both sides is over.
+                self.connected = event['event'] == zmq.EVENT_HANDSHAKE_SUCCEEDED
                 if not self.connected:
                     self._fail_pending()
 
