Log runs by step, so that busy seconds leave no job out

Cause: on the grown deployments the leader wrote a line for each task that was ordered or ended.

Change: one line for the starts of a step in a plan, one for the ends of a step that a worker lists together; both name each task's worker.

Ruled out: a higher bound, which would cost the leader processor time in just those seconds.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -36,6 +36,7 @@
 from mangotrail.graphs.held_run import RunPhase
 from mangotrail.graphs.lives import unclear_lives
 from mangotrail.graphs.planning import Claim, Plan, Planner
+from mangotrail.graphs.run_log import log_ended, log_ordered, unit_of
 from mangotrail.graphs.session import Session
 from mangotrail.graphs.session_owner import SessionOwner
 from mangotrail.graphs.slots import Slot
@@ -122,17 +123,8 @@
 
     async def end_runs(self, session: Session, ends: Sequence[RunEnd]) -> bool:
         """Make ends durable; False if that failed."""
+        log_ended(ends, session.worker.worker)
         for end in ends:
-            logger.info(
-                'Run ended job={} task={}.{}.{} run={} end={} worker={}',
-                end.task.job,
-                end.task.occurrence,
-                end.task.step,
-                end.task.index,
-                end.run,
-                end.end.value,
-                session.worker.worker,
-            )
             self.judge(session, end)
         return await self.commit(EndRuns(ends=ends)) is not None
 
@@ -170,7 +162,7 @@
 
     def forget_ticket(self, start: RunStart) -> None:
         """Ask again for a ticket that a worker did not take."""
-        self.book.drop(_unit_of(start.task), start.life)
+        self.book.drop(unit_of(start.task), start.life)
 
     def replan(self) -> None:
         """Make a plan soon."""
@@ -396,8 +388,15 @@
             if session is not None:
                 session.stop(task)
         if plan.starts:
-            accepted = await self.commit(StartRuns(starts=plan.starts))
-            for start in accepted or ():
+            accepted = await self.commit(StartRuns(starts=plan.starts)) or ()
+            log_ordered(
+                accepted,
+                {
+                    life: session.worker.worker
+                    for life, session in self.sessions.items()
+                },
+            )
+            for start in accepted:
                 self.order(start)
         self.questions = plan.questions
         self.book.keep_only({question.unit for question in plan.questions})
@@ -429,15 +428,6 @@
         session = self.sessions.get(start.life)
         if session is None or step is None:
             return
-        logger.info(
-            'Run ordered job={} task={}.{}.{} run={} worker={}',
-            start.task.job,
-            start.task.occurrence,
-            start.task.step,
-            start.task.index,
-            start.run,
-            session.worker.worker,
-        )
         if start.run == 1:
             waited_ms = self.wall_ms() - job.accepted_ms
             self.telemetry.start_wait_s.observe(waited_ms / 1000)
@@ -445,7 +435,7 @@
             start,
             payload=job.graph.payload,
             checkpoint=step.checkpoint(start.task.index),
-            ticket=self.book.ticket(_unit_of(start.task), start.life),
+            ticket=self.book.ticket(unit_of(start.task), start.life),
         )
 
     # What workers say of themselves.
@@ -486,11 +476,6 @@
         return await self.commit(RemoveWorker(life=life)) is not None
 
 
-def _unit_of(task: TaskKey) -> UnitKey:
-    """Return the step that a task belongs to."""
-    return task.job, task.occurrence, task.step
-
-
 class WallClock:
     """Estimates true time without following later steps of the clock.
 
