Use doubtful workers last; count the objective of urgent victims

Cause: a worker that failed a run has free capacity and attracted the next one until two jobs had failed there; queues with two attempts lost jobs that way. Runs were stopped by the work they had done, so an urgent run that had just begun went first and its caller was late.

Change: a worker with a failure and no success since is chosen only if nothing else fits. The cost of stopping an urgent run that would then miss its objective includes its whole work. A field of slots that nothing set is gone.

Tried and not kept: first the jobs that can be in time, overdue ones last, and a pause of 0.2 s before evictions beyond the guarantee.

--- a/mangotrail/graphs/eviction.py
+++ b/mangotrail/graphs/eviction.py
@@ -5,14 +5,16 @@
 
 from mangotrail._graphs import StepSpec, TaskKey
 from mangotrail._struct import FrozenStruct
-from mangotrail.graphs.slots import SLOW_WORKER, Slot
+from mangotrail.graphs.slots import Slot
 from mangotrail.graphs.state import GraphState
-from mangotrail.graphs.units import cores_of
+from mangotrail.graphs.units import URGENT, cores_of, objective_span_ms
 from mangotrail.ids import LifeId
 
 # What a stopped run loses that saves its progress when it is stopped: the
 # stop itself (up to 0.4 s) and the time to resume (up to 0.6 s).
 SAVED_LOSS_S = 0.8
+# Time until a stopped urgent run can be at work again elsewhere, at best.
+RESTART_MS = 1_000
 # Memory that weighs as much as an accelerator: about an eighth of a worker.
 MEMORY_SHARE_MB = 16_384
 
@@ -29,7 +31,12 @@
 
 
 class Victim:
-    """Runs that are stopped together: one task, or a whole gang."""
+    """Runs that are stopped together: one task, or a whole gang.
+
+    The cost of an urgent run counts its caller's objective too. An urgent gang
+    that has just begun has done the least work of all, and would be stopped
+    first for the sake of the next one.
+    """
 
     def __init__(
         self,
@@ -46,10 +53,32 @@
         self.homes = [state.runs[task].life for task in tasks]
         started = [runs.get(task, RunInfo()).started_ms for task in tasks]
         oldest_ms = min((at for at in started if at), default=now_ms)
-        elapsed_s = max(now_ms - oldest_ms, 100) / 1000
+        elapsed_ms = max(now_ms - oldest_ms, 100)
+        lost_s = elapsed_ms / 1000
         if self.spec.checkpoints:
-            elapsed_s = min(elapsed_s, SAVED_LOSS_S)
-        self.cost = elapsed_s * cores_of(self.spec) * len(tasks)
+            lost_s = min(lost_s, SAVED_LOSS_S)
+        if job.queue.priority == URGENT and self.would_be_late(
+            elapsed_ms,
+            now_ms - job.begin_ms(tasks[0].occurrence),
+            objective_span_ms(job),
+        ):
+            # The caller loses what the whole run was for.
+            lost_s += self.spec.estimated_ms / 1000
+        self.cost = lost_s * cores_of(self.spec) * len(tasks)
+
+    def would_be_late(
+        self, elapsed_ms: int, age_ms: int, span_ms: float
+    ) -> bool:
+        """Whether a run in time would be late if it were stopped.
+
+        :param elapsed_ms: age of the run.
+        :param age_ms: age of the job.
+        :param span_ms: how long the job should take.
+        """
+        whole_ms = self.spec.estimated_ms
+        left_ms = max(0, whole_ms - elapsed_ms)
+        again_ms = left_ms if self.spec.checkpoints else whole_ms
+        return age_ms + left_ms <= span_ms < age_ms + RESTART_MS + again_ms
 
     def rate_at(self, life: LifeId) -> float:
         """Return the cost for what is freed on one worker."""
@@ -148,7 +177,7 @@
         cost = sum(victim.cost for victim in victims)
         return Offer(
             victims=victims,
-            rank=(cost, slot.slowness > SLOW_WORKER, slot.leftover(), life),
+            rank=(cost, slot.is_doubtful, slot.leftover(), life),
         )
 
     def local_victims(self, slot: Slot) -> list[Victim]:
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -344,6 +344,7 @@
                 and life not in unclear
                 and not held.draining
                 and held.spec.zone not in self.state.closed_zones,
+                is_doubtful=self.suspicion.is_doubtful(life, now_s),
             )
         runs = {
             task: RunInfo(
--- a/mangotrail/graphs/records.py
+++ b/mangotrail/graphs/records.py
@@ -168,6 +168,12 @@
         """Return the Unix milliseconds at which an occurrence is due."""
         return self.graph.first_due_ms + occurrence * self.graph.interval_ms
 
+    def begin_ms(self, occurrence: int) -> int:
+        """Return the Unix milliseconds from which an objective counts."""
+        if self.graph.occurrences:
+            return self.due_ms(occurrence)
+        return self.accepted_ms
+
     def open_occurrence(self, number: int) -> bool:
         """Make the tasks of the next occurrence; False if it is not next."""
         if number != self.next_occurrence or not self.is_live:
--- a/mangotrail/graphs/slots.py
+++ b/mangotrail/graphs/slots.py
@@ -11,25 +11,32 @@
 
     :param worker: the worker.
     :param is_open: whether runs may start there now.
+    :param is_doubtful: whether something failed there since the last success;
+        other workers are used first.
     """
 
     __slots__ = (
         'accelerators',
         'cpu_millis',
+        'is_doubtful',
         'is_open',
         'memory_mb',
-        'slowness',
         'worker',
     )
 
-    def __init__(self, worker: WorkerSpec, *, is_open: bool = True) -> None:
+    def __init__(
+        self,
+        worker: WorkerSpec,
+        *,
+        is_open: bool = True,
+        is_doubtful: bool = False,
+    ) -> None:
         self.worker = worker
         self.is_open = is_open
         self.cpu_millis = worker.capacity.cpu_millis
         self.memory_mb = worker.capacity.memory_mb
         self.accelerators = worker.capacity.accelerators
-        # Measured duration of tasks relative to other workers.
-        self.slowness = 1.0
+        self.is_doubtful = is_doubtful
 
     def take(self, step: StepSpec, count: int = 1) -> None:
         """Occupy what tasks of a step need; a negative count frees it."""
@@ -148,7 +155,7 @@
         ranked = sorted(
             self.counts,
             key=lambda held: (
-                held[0].slowness > SLOW_WORKER,
+                held[0].is_doubtful,
                 held[0].accelerators - need * min(held[1], wanted),
                 held[0].leftover(),
                 held[0].worker.life,
@@ -160,7 +167,3 @@
             if len(chosen) == wanted:
                 break
         return chosen
-
-
-# A worker that takes this many times as long as others is used last.
-SLOW_WORKER = 2.0
--- a/mangotrail/graphs/suspicion.py
+++ b/mangotrail/graphs/suspicion.py
@@ -70,6 +70,17 @@
         self.failures.pop(life, None)
         self.rests_until_s[life] = now_s + REST_S
 
+    def is_doubtful(self, life: LifeId, now_s: float) -> bool:
+        """Whether something failed on a worker lately, with no success since.
+
+        One failure proves nothing, but it is the job's own far less often on
+        queues whose jobs rarely fail, and to go elsewhere costs nothing.
+        """
+        return any(
+            now_s - at < FAILURE_SPAN_S
+            for at in self.failures.get(life, {}).values()
+        )
+
     def resting(self, lives: Iterable[LifeId], now_s: float) -> set[LifeId]:
         """Return the workers that rest, those that rest longest first."""
         held = list(lives)
--- a/mangotrail/graphs/units.py
+++ b/mangotrail/graphs/units.py
@@ -56,16 +56,8 @@
 
     def objective_ms(self) -> float:
         """Return the Unix milliseconds by which the job should be done."""
-        queue = self.job.queue
-        graph = self.job.graph
-        begin_ms = self.job.accepted_ms
-        if graph.occurrences:
-            begin_ms = self.job.due_ms(self.occurrence)
-        return (
-            begin_ms
-            + queue.stretch * chain_ms(graph.steps)
-            + queue.target_latency_ms
-        )
+        begin_ms = self.job.begin_ms(self.occurrence)
+        return begin_ms + objective_span_ms(self.job)
 
     def can_be_in_time(self, now_ms: int) -> bool:
         """Whether a start now would meet the objective, by the estimate."""
@@ -94,6 +86,12 @@
     return need.cpu_millis / 1000 + ACCELERATOR_CORES * need.accelerators
 
 
+def objective_span_ms(job: JobState) -> float:
+    """Return the milliseconds that one occurrence of a job should take."""
+    queue = job.queue
+    return queue.stretch * chain_ms(job.graph.steps) + queue.target_latency_ms
+
+
 def chain_ms(steps: Sequence[StepSpec]) -> int:
     """Return the estimated length of the longest chain of steps."""
     ends: list[int] = []
--- a/tests/test_graph_planning.py
+++ b/tests/test_graph_planning.py
@@ -17,7 +17,7 @@
 from mangotrail.graphs.slots import Slot
 from mangotrail.graphs.state import GraphState
 from mangotrail.graphs.units import entitled_jobs
-from mangotrail.ids import AccountId, JobId
+from mangotrail.ids import AccountId, JobId, LifeId
 from tests.graph_fakes import (
     NORMAL,
     URGENT,
@@ -52,6 +52,7 @@
         self.claims: dict = {}
         self.now_ms = 0
         self.runs: dict[TaskKey, RunInfo] = {}
+        self.doubtful: set[LifeId] = set()
 
     def submit(
         self,
@@ -72,7 +73,11 @@
     def plan(self) -> Plan:
         """Make a plan and let its starts take effect."""
         slots = {
-            life: Slot(held.spec, is_open=not held.draining)
+            life: Slot(
+                held.spec,
+                is_open=not held.draining,
+                is_doubtful=life in self.doubtful,
+            )
             for life, held in self.state.workers.items()
         }
         plan = Planner(
@@ -195,6 +200,18 @@
         assert {start.life for start in site.plan().starts} == {'w7@1'}
 
 
+class TestDoubtfulWorkers:
+    """Workers on which something has just failed."""
+
+    def test_doubtful_worker_is_used_last(self) -> None:
+        """A worker that has just failed a run attracts no new ones."""
+        site = Site()
+        *doubtful, spared = sorted(site.state.workers)
+        site.doubtful.update(doubtful)
+        site.submit('job', step_spec(1, 1))
+        assert [one.life for one in site.plan().starts] == [spared]
+
+
 class TestGuarantees:
     """Accelerators that an account can always have for urgent jobs."""
 
@@ -281,6 +298,26 @@
         site.submit('entitled', gang, urgent=True)
         assert len(site.plan().stops) == 2
 
+    def test_urgent_victim_counts_its_objective(self) -> None:
+        """An urgent run that has just begun is not stopped for the next one.
+
+        It had done the least work of all, so it was chosen each time, and its
+        caller was late.
+        """
+        site = Site()
+        site.submit('old', step_spec(4, 8))
+        site.plan()
+        for task in site.state.runs:
+            site.runs[task] = RunInfo(started_ms=1)
+        site.now_ms = 600
+        step = step_spec(4, 8)
+        site.submit('over', step, urgent=True, account='x')
+        for start in site.plan().starts:
+            site.runs[start.task] = RunInfo(started_ms=site.now_ms)
+        site.now_ms += 900
+        site.submit('entitled', step, urgent=True)
+        assert {task.job for task in site.plan().stops} == {'old'}
+
     def test_cheapest_victims(self) -> None:
         """What has run shortest or saves its progress is stopped first."""
         site = Site()
--- a/tests/test_graph_suspicion.py
+++ b/tests/test_graph_suspicion.py
@@ -41,6 +41,16 @@
         assert held.resting([BAD, *OTHERS], 3) == {BAD}
         assert not held.resting([BAD, *OTHERS], 3 + REST_S)
 
+    def test_doubt(self) -> None:
+        """One failure makes a worker doubtful until it succeeds again."""
+        held = Suspicion()
+        held.fail(BAD, JobId('a'), 1)
+        assert held.is_doubtful(BAD, 2)
+        assert not held.is_doubtful(OTHERS[0], 2)
+        assert not held.is_doubtful(BAD, 1 + FAILURE_SPAN_S)
+        held.succeed(BAD)
+        assert not held.is_doubtful(BAD, 2)
+
     def test_success_between(self) -> None:
         """A worker that also succeeds is not the cause."""
         held = Suspicion()
