--- a/mangotrail/link.py
+++ b/mangotrail/link.py
@@ -154,8 +154,8 @@
         with suppress(zmq.ContextTerminated):
             while True:
                 event = await recv_monitor_message(monitor)
-                # TCP alone does not do: nothing can be sent before the
-                # handshake of both sides is over.
+                # A TCP connection is not enough: nothing can be sent before
+                # the handshake of both sides is over.
                 self.connected = event['event'] == zmq.EVENT_HANDSHAKE_SUCCEEDED
                 if not self.connected:
                     self._fail_pending()
