--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,93 +1,56 @@
-"""A start order that is carried out late reaches the next life of its worker."""
+"""Runs of a worker that is cut off with resets are started again elsewhere."""
 
 import asyncio
 import sys
-from collections.abc import Mapping
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / 'standins'))
 
-from lab import ZONES, Deployment, Reply, Worker, run_case  # noqa: E402
+from lab import ZONES, Deployment, Proxy, run_case  # noqa: E402
 
 PREFIX = '/jobs/'
 WORK_MS = 12_000
+WORKERS = 4
+CUT_S = 3.0
 STEP = {
-    'count': 1,
+    'count': 12,
     'cpu': 1000,
     'mem_mb': 100,
-    'gpu': 1,
+    'gpu': 2,
     'estimated_ms': WORK_MS,
 }
-WORKERS = 4
-# The bench names 2 to 12 s for an order that is carried out late.
-DELAY_S = 6.0
-CRASH_AFTER_S = 2.5
-DOWN_S = 1.5
-
-
-class LateOrder:
-    """The one order that gets no answer and is carried out late."""
-
-    def __init__(self, *, armed: bool) -> None:
-        self.armed = armed
-        self.taken = asyncio.Event()
-        self.worker: LateWorker | None = None
-
-
-class LateWorker(Worker):
-    """Worker behind a connection that delays one start order."""
-
-    order: LateOrder
-
-    async def handle(
-        self, method: str, path: str, headers: Mapping[str, str], body: bytes
-    ) -> Reply:
-        """Answer an order; the first start is delayed and gets no answer."""
-        late = self.order
-        if not (late.armed and path == '/api/run-start'):
-            return await super().handle(method, path, headers, body)
-        late.armed = False
-        late.worker = self
-        late.taken.set()
-        record = self.judge.record
-        record.write(f'{self.name}: this order is delayed: {body.decode()}')
-        await asyncio.sleep(DELAY_S)
-        record.write(f'{self.name}: the delayed order arrives')
-        status, fields = await super().handle(method, path, headers, body)
-        record.write(f'{self.name}: its answer, which is lost: {status}')
-        raise ConnectionResetError(fields)
 
 
 async def play(lab: Deployment) -> bool:
-    """Restart a worker between an order without an answer and its effect."""
-    order = LateOrder(armed=False)
+    """Cut one of four workers off for a moment; it goes on to work."""
+    proxies = {}
     for number in range(WORKERS):
-        worker = LateWorker(
-            f'i-{number:04x}',
-            (f'{lab.net}.{number + 60}', lab.port + 4),
+        worker = lab.add_worker(
+            number,
             list(ZONES)[number % 3],
-            judge=lab.judge,
+            advertised=(f'{lab.net}.{number + 160}', lab.port + 4),
         )
-        worker.order = order
-        lab.workers.append(worker)
+        proxies[worker.name] = Proxy(worker.advertised, worker.address)
+        await proxies[worker.name].open()
     await lab.open(routes=[{'name': 'r-jobs', 'path_prefix': PREFIX}])
-    order.armed = lab.trouble
     job = await lab.submit(PREFIX, [STEP], WORK_MS)
     if job is None:
         raise RuntimeError('the job was not accepted')
+    await lab.judge.wait_for_starts(STEP['count'], 10)
+    await asyncio.sleep(2)
+    # The first worker with tasks; the others keep some room.
+    cut = next(worker for worker in lab.workers if worker.runs)
     if lab.trouble:
-        async with asyncio.timeout(5):
-            await order.taken.wait()
-        worker = order.worker
-        await asyncio.sleep(CRASH_AFTER_S)
-        lab.record.write(f'{worker.name} crashes')
-        worker.crash()
-        await asyncio.sleep(DOWN_S)
-        await worker.open()
-        lab.record.write(f'{worker.name} is back under its id')
+        lab.record.write(f'{cut.name} is cut off, {len(cut.runs)} tasks run')
+        proxies[cut.name].cut()
+        await asyncio.sleep(CUT_S)
+        await proxies[cut.name].open()
+        lab.record.write(f'{cut.name} is reached again')
     await asyncio.sleep(20)
     lab.record.write(f'state of {job}: {await lab.phase(PREFIX, job)}')
+    for proxy in proxies.values():
+        proxy.cut()
     return not lab.judge.twice
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,69 +1,50 @@
-"""Tasks that last keep a client account from the capacity that it was guaranteed."""
+"""A new leader starts tasks again that are done, if a worker has many ends."""
 
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
 CASE = Path(__file__).resolve().parent
 sys.path.insert(0, str(CASE.parent / 'standins'))
 
-from lab import BOUNDS, Deployment, run_case  # noqa: E402
+from lab import Deployment, run_case  # noqa: E402
 
-URGENT = '/urgent/'
-OTHER = '/other/'
-WORKERS = 4
-# The tenant of the lab is guaranteed 16 accelerators; this job needs 8.
-URGENT_STEP = {
-    'count': 8,
-    'cpu': 500,
-    'mem_mb': 100,
-    'gpu': 1,
-    'estimated_ms': 1000,
-    'gang': True,
-}
+PREFIX = '/jobs/'
+TASKS = 700
+WORK_MS = 4000
+# Together 28 of the 32 cores of a worker of tuylu-dal.
+STEP = {'count': TASKS, 'cpu': 40, 'mem_mb': 100, 'estimated_ms': WORK_MS}
 
 
 async def play(lab: Deployment) -> bool:
-    """Fill all accelerators, then hand in a job that is guaranteed its room."""
-    for number in range(WORKERS):
-        lab.add_worker(number, ('z-a1', 'z-a2', 'z-b1')[number % 3])
-    await lab.open(
-        routes=[
-            {'name': 'r-urgent', 'path_prefix': URGENT, 'priority': 0},
-            {'name': 'r-other', 'path_prefix': OTHER, 'priority': 1},
-        ]
-    )
-    filler = {
-        'count': WORKERS * 8,
-        'cpu': 500,
-        'mem_mb': 100,
-        'gpu': 1,
-        'estimated_ms': 60_000,
-        # Without the trouble, the same tasks are of the kind that ends.
-        'continuous': lab.trouble,
-    }
-    if await lab.submit(OTHER, [filler], 60_000) is None:
-        raise RuntimeError('the job that borrows was not accepted')
-    await lab.judge.wait_for_starts(WORKERS * 8, 10)
-    await asyncio.sleep(5)
-    job = await lab.submit(URGENT, [URGENT_STEP], 1000)
+    """Kill the leader while the tasks of a wide step end on one worker."""
+    lab.add_worker(0, 'z-a1')
+    await lab.open(routes=[{'name': 'r-jobs', 'path_prefix': PREFIX}])
+    job = await lab.submit(PREFIX, [STEP], WORK_MS)
     if job is None:
-        raise RuntimeError('the urgent job was not accepted')
-    accepted_s = lab.record.now_s()
-    await asyncio.sleep(25)
-    begun = {
-        task: at_s
-        for at_s, _, task, _ in lab.judge.starts
-        if task.startswith(job)
-    }
-    late_s = accepted_s + BOUNDS['reclaim_ms'] / 1000
-    in_time = [task for task, at_s in begun.items() if at_s <= late_s]
-    lab.record.write(
-        f'{job} was accepted at {accepted_s:.3f}; of its 8 tasks'
-        f' {len(in_time)} had begun after {BOUNDS["reclaim_ms"]} ms and'
-        f' {len(begun)} after 25 s; its state: {await lab.phase(URGENT, job)}'
+        raise RuntimeError('the job was not accepted')
+    await lab.judge.wait_for_starts(TASKS, 30)
+    first_s = lab.judge.starts[0][0]
+    lab.record.write(f'{TASKS} tasks started, the first at {first_s:.3f}')
+    await asyncio.sleep(
+        max(0.0, first_s + WORK_MS / 1000 - 0.1 - lab.record.now_s())
     )
-    return len(in_time) == 8
+    leader = lab.leader()
+    if lab.trouble:
+        lab.record.write(f'{leader.name} is killed')
+        leader.signal(signal.SIGKILL)
+        await asyncio.sleep(1)
+        lab.start(leader)
+    phase = ''
+    for _ in range(30):
+        await asyncio.sleep(1)
+        phase = await lab.phase(PREFIX, job)
+        if phase == 'completed':
+            break
+    lab.record.write(f'state of {job}: {phase}')
+    lab.record.write(f'{len(lab.judge.twice)} tasks were run twice')
+    return not lab.judge.twice
 
 
 run_case(CASE, play)
--- a/review/standins/lab.py
+++ b/review/standins/lab.py
@@ -234,6 +234,64 @@
             writer.transport.abort()
 
 
+class Proxy:
+    """Forwards connections to a worker; a cut resets and refuses them."""
+
+    def __init__(
+        self, address: tuple[str, int], target: tuple[str, int]
+    ) -> None:
+        self.address = address
+        self.target = target
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
+
+    async def open(self) -> None:
+        """Start forwarding."""
+        self.server = await asyncio.start_server(
+            self.forward, *self.address, backlog=512
+        )
+
+    def cut(self) -> None:
+        """Reset all connections and refuse new ones."""
+        if self.server is not None:
+            self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+    async def forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward one connection."""
+        self.writers.add(writer)
+        try:
+            back_reader, back = await asyncio.open_connection(*self.target)
+        except OSError:
+            self.writers.discard(writer)
+            writer.transport.abort()
+            return
+        self.writers.add(back)
+        pumps = [
+            asyncio.create_task(self.pump(reader, back)),
+            asyncio.create_task(self.pump(back_reader, writer)),
+        ]
+        await asyncio.wait(pumps, return_when=asyncio.FIRST_COMPLETED)
+        for pump in pumps:
+            pump.cancel()
+        for side in (writer, back):
+            self.writers.discard(side)
+            side.transport.abort()
+
+    @staticmethod
+    async def pump(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Forward the bytes of one direction."""
+        with suppress(OSError):
+            while data := await reader.read(65_536):
+                writer.write(data)
+                await writer.drain()
+
+
 class Run:
     """A run on a stand-in worker."""
 
