Let a leader go on after a short lapse of its authority

Callers saw: after one pause of 0.5 s of the leader nothing started, every call got a 503 and no configuration was taken, for good, while all processes ran.

Cause: the authority ends 0.5 s after the last round that a majority answered, an election takes 0.6 s or more. A start order that was due between found no authority, and GraphLeader.step_down then barred the leader from ordering and answering until the term changed. It went on with its heartbeats, so that the term never changed.

Change: what needs the authority waits until it is back; the end of the term cancels the wait. An answer that a worker knows a later leader suspends orders until a majority has answered a round sent after it; if the term is confirmed, only that worker is left out. The removal of an ended life is repeated until it is committed: a session gave it up after a lapse, and the runs of the life then counted as present for the rest of the term.

Ruled out: a lost majority and the entry instances, by their logs. The product's own leader (mangotrail/_leader.py) asks for the authority at each confirmation and keeps no such mark.

--- a/mangotrail/_log_replica.py
+++ b/mangotrail/_log_replica.py
@@ -156,6 +156,16 @@
         """Return whether no other member can have been elected up to now."""
         return self.agreement.has_authority(self.clock.monotonic_s())
 
+    def quorum_contact_s(self) -> float:
+        """Return when the last round was sent that a majority answered.
+
+        :return: reading of the monotonic clock; -inf unless this member leads.
+        """
+        replication = self.agreement.replication
+        if replication is None:
+            return -inf
+        return replication.quorum_contact_s(self.clock.monotonic_s())
+
     def term(self) -> int:
         """Return the current term."""
         return self.agreement.term
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
+from math import inf
 from typing import Any
 
 from loguru import logger
@@ -99,16 +100,21 @@
         self.quarantine_tracker = QuarantineTracker()
         self.logged_waits: set[UnitKey] = set()
         self.wake = asyncio.Event()
-        self.has_stepped_down = False
+        # When a worker last answered that it knows a later leader.
+        self.doubted_s = -inf
 
     # Interface for sessions.
 
     def may_order(self) -> bool:
-        """Whether this leader still has the authority to send orders."""
+        """Whether this leader has the authority to send orders now.
+
+        The authority may lapse for a moment and come back in the same term, so
+        callers wait for it instead of giving up.
+        """
         return (
-            not self.has_stepped_down
-            and self.replica.term() == self.term
+            self.replica.term() == self.term
             and self.replica.has_authority()
+            and self.replica.quorum_contact_s() > self.doubted_s
         )
 
     def wall_ms(self) -> int:
@@ -163,16 +169,18 @@
     async def remove_life(self, session: Session) -> None:
         """Commit the removal of a worker life that has ended."""
         life = session.worker.life
-        while self.may_order():
-            if await self.commit(RemoveWorker(life=life)) is not None:
-                return
+        # Nobody else removes it in this term, so that a lapse of the authority
+        # only delays this; the end of the term cancels it.
+        while True:
+            if self.may_order():
+                if await self.commit(RemoveWorker(life=life)) is not None:
+                    return
             await asyncio.sleep(MIN_PLAN_INTERVAL_S)
 
-    def step_down(self) -> None:
-        """Stop sending orders: fenced by a worker, or authority lost."""
-        if not self.has_stepped_down:
-            logger.warning('Term {} is over for a worker', self.term)
-        self.has_stepped_down = True
+    def doubt_authority(self, worker: WorkerId) -> None:
+        """Send no orders until a majority confirms that this member leads."""
+        logger.warning('Term {} is over for worker {}', self.term, worker)
+        self.doubted_s = self.clock.monotonic_s()
 
     def count_answer(self, answer: StartAnswer) -> None:
         """Count the answer to a start order."""
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -51,6 +51,7 @@
 REFUSAL_BACKOFF_S = 0.5
 
 NEVER_STARTED_ANSWERS = frozenset((
+    StartAnswer.FENCED,
     StartAnswer.OUTDATED_RUN,
     StartAnswer.TOO_LATE,
     StartAnswer.NO_ROOM,
@@ -84,6 +85,7 @@
         self.runs: dict[TaskKey, TrackedRun] = {}
         self.is_synchronized = False
         self.is_unresponsive = False
+        self.is_fenced = False
         self.unreachable_since_s = inf
         self.last_reply_s = 0.0
         self.backoff_until_s = 0.0
@@ -179,9 +181,7 @@
                     raise SessionFaultError(
                         f'an order to worker {self.worker.worker} failed'
                     ) from self.fault
-                if not self.owner.may_order():
-                    await asyncio.sleep(RETRY_PAUSE_S / 4)
-                    continue
+                await self._wait_for_authority()
                 await self._renew()
         finally:
             for task in self.tasks:
@@ -214,12 +214,15 @@
         if isinstance(listing, RenewalFailure):
             await self._handle_renewal_failure(listing, received_s)
         elif listing.is_fenced:
-            self.owner.step_down()
-            await asyncio.sleep(RETRY_PAUSE_S)
+            self._handle_fence()
+            await self._handle_renewal_failure(
+                RenewalFailure.NO_ANSWER, received_s
+            )
         elif not listing.is_same_life:
             await self._end_session(listing)
         else:
             self.is_unresponsive = False
+            self.is_fenced = False
             self.unreachable_since_s = inf
             self.clock.record_reading(listing.clock_ms, now_s, received_s)
             self.last_reply_s = received_s
@@ -257,6 +260,23 @@
             self.is_synchronized = False
         await asyncio.sleep(RETRY_PAUSE_S)
 
+    def _handle_fence(self) -> None:
+        """Handle the answer that the worker knows a later leader.
+
+        If a majority confirms the term after the first such answer, the token
+        came from elsewhere. Only this worker is of no use then.
+        """
+        if not self.is_fenced:
+            self.is_fenced = True
+            self.owner.doubt_authority(self.worker.worker)
+
+    async def _wait_for_authority(self) -> None:
+        """Wait until orders may be sent; cancelled if the term ends."""
+        while True:
+            if self.owner.may_order():
+                return
+            await asyncio.sleep(RETRY_PAUSE_S / 4)
+
     async def _end_session(self, listing: Listing) -> None:
         """End the session once no run of this life can be on its successor."""
         logger.info(
@@ -360,13 +380,9 @@
 
     async def _send_order(self, tracked: TrackedRun, order: StartOrder) -> None:
         async with self.order_limit:
+            await self._wait_for_authority()
             if tracked.phase is not RunPhase.ORDERED:
                 return
-            if not self.owner.may_order():
-                # The order was not sent; the next leader determines the end of
-                # the run.
-                self.owner.step_down()
-                return
             tracked.order_expiry_s = (
                 self.owner.clock.monotonic_s() + MAX_ORDER_DELAY_S
             )
@@ -380,9 +396,9 @@
             tracked.started_ms = self.owner.wall_ms()
             if tracked.phase is RunPhase.ORDERED:
                 tracked.phase = RunPhase.PRESENT
-        elif answer is StartAnswer.FENCED:
-            self.owner.step_down()
         elif answer in NEVER_STARTED_ANSWERS:
+            if answer is StartAnswer.FENCED:
+                self._handle_fence()
             await self._handle_refusal(tracked, answer, now_s)
         elif answer is StartAnswer.UNANSWERED and self._is_current(tracked):
             logger.warning(
@@ -409,7 +425,7 @@
             answer.value,
         )
         backoff_s = REFUSAL_BACKOFF_S
-        if answer is StartAnswer.UNHEALTHY:
+        if answer in {StartAnswer.UNHEALTHY, StartAnswer.FENCED}:
             backoff_s = UNHEALTHY_BACKOFF_S
         if answer is StartAnswer.NO_TICKET:
             # Refusing a ticket says nothing about the health of the worker.
@@ -417,6 +433,7 @@
             self.owner.invalidate_ticket(tracked.start)
         self.backoff_until_s = max(self.backoff_until_s, now_s + backoff_s)
         while self._is_current(tracked):
+            await self._wait_for_authority()
             ends = [tracked.inferred_end(EndKind.NEVER_STARTED)]
             if await self._commit_ends(ends):
                 return
--- a/mangotrail/graphs/session_owner.py
+++ b/mangotrail/graphs/session_owner.py
@@ -8,6 +8,7 @@
 from mangotrail._graphs import RunEnd, RunStart, TaskKey
 from mangotrail.clock import Clock
 from mangotrail.graphs.worker_connection import StartAnswer
+from mangotrail.ids import WorkerId
 
 if TYPE_CHECKING:
     from mangotrail.graphs.session import Session
@@ -33,7 +34,7 @@
 
     @abstractmethod
     def may_order(self) -> bool:
-        """Whether this leader still has the authority to send orders."""
+        """Whether this leader has the authority to send orders now."""
 
     @abstractmethod
     def wall_ms(self) -> int:
@@ -54,8 +55,11 @@
         """Commit that the life of the worker has ended."""
 
     @abstractmethod
-    def step_down(self) -> None:
-        """Stop sending orders: fenced by a worker, or authority lost."""
+    def doubt_authority(self, worker: WorkerId) -> None:
+        """Send no orders until a majority confirms that this member leads.
+
+        :param worker: worker that answered that it knows a later leader.
+        """
 
     @abstractmethod
     def count_answer(self, answer: StartAnswer) -> None:
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from math import inf
 from random import Random
 from typing import Any
 
@@ -54,6 +55,8 @@
 NORMAL = QueueId('normal')
 ACCOUNT = AccountId('acme')
 COMMIT_S = 0.02
+# Time between the rounds of the leader, with their way back.
+ROUND_S = 0.15
 TRIP_S = 0.004
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
@@ -483,6 +486,8 @@
         self.random = random
         self.current_term = 1
         self.faults = 0.0
+        # Whether a majority does not answer at the moment.
+        self.is_isolated = False
 
     def at_term(self, term: int) -> 'TermView':
         """Return the view of the replica for the leader of a term."""
@@ -501,14 +506,25 @@
         """Return the term of this leader."""
         return self.own_term
 
-    def has_authority(self) -> bool:
+    def leads(self) -> bool:
         """Whether no later leader has been elected."""
         return self.replica.current_term == self.own_term
 
+    def has_authority(self) -> bool:
+        """Whether this is certain, because a majority answers."""
+        return self.leads() and not self.replica.is_isolated
+
+    def quorum_contact_s(self) -> float:
+        """Return when the last round was sent that a majority answered."""
+        now_s = self.replica.clock.monotonic_s()
+        return now_s - ROUND_S if self.has_authority() else -inf
+
     async def propose(self, body: GraphCommandBody, now_ms: int) -> Any:
         """Commit a command; some commits are reported as undecided."""
         await asyncio.sleep(COMMIT_S)
-        if not self.has_authority():
+        if self.replica.is_isolated:
+            raise UndecidedError('the command was not committed in time')
+        if not self.leads():
             raise NotLeaderError('another leader replaced the command')
         result = self.state.apply(GraphCommand(time_ms=now_ms, body=body))
         if self.replica.random.random() < self.replica.faults:
