Let only leases and later lives end the runs of a silent worker

Callers saw: tasks of workers that were cut off with resets ran twice.

Cause: an address that refused connections for 0.6 s counted as the end of the worker's process, in the session and in the cleanup of a successor. A partition may refuse connections as well, while the worker runs on.

Change: a refused connection keeps new runs away and nothing more. Runs count as lost when every lease granted has expired, or when another life answers.

Ruled out: expired leases (lease_over=False in the log), a second leader. A start order that is refused at connecting has not been sent and still counts as never started; the product's gateways draw no such conclusion.

--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -18,7 +18,6 @@
 from mangotrail.graphs.session_owner import (
     MAX_ORDER_DELAY_S,
     RETRY_PAUSE_S,
-    UNREACHABLE_TIMEOUT_S,
     SessionOwner,
 )
 from mangotrail.graphs.successor_cleanup import SuccessorCleanup
@@ -86,7 +85,8 @@
         self.is_synchronized = False
         self.is_unresponsive = False
         self.is_fenced = False
-        self.unreachable_since_s = inf
+        # Whether the address refused the last connection.
+        self.is_unreachable = False
         self.last_reply_s = 0.0
         self.backoff_until_s = 0.0
         self.acknowledged = 0
@@ -104,7 +104,7 @@
             self.is_synchronized
             and not self.is_ended
             and not self.is_ending
-            and self.unreachable_since_s == inf
+            and not self.is_unreachable
             and now_s - self.last_reply_s < MAX_REPLY_AGE_S
             and now_s >= self.backoff_until_s
         )
@@ -223,7 +223,7 @@
         else:
             self.is_unresponsive = False
             self.is_fenced = False
-            self.unreachable_since_s = inf
+            self.is_unreachable = False
             self.clock.record_reading(listing.clock_ms, now_s, received_s)
             self.last_reply_s = received_s
             await self._reconcile(listing, now_s)
@@ -232,26 +232,20 @@
         self, failure: RenewalFailure, now_s: float
     ) -> None:
         self.is_unresponsive = True
-        if failure is RenewalFailure.NO_ANSWER:
-            self.unreachable_since_s = inf
-        else:
-            self.unreachable_since_s = min(self.unreachable_since_s, now_s)
-        process_ended = (
-            now_s - self.unreachable_since_s >= UNREACHABLE_TIMEOUT_S
-        )
-        runs_ended = process_ended or self.clock.leases_expired(now_s)
+        self.is_unreachable = failure is RenewalFailure.REFUSED
+        # A partition may refuse connections too, while the worker runs on.
         lost = [
             tracked
             for tracked in self.runs.values()
-            if runs_ended and tracked.order_expiry_s <= now_s
+            if self.clock.leases_expired(now_s)
+            and tracked.order_expiry_s <= now_s
         ]
         if lost and self.owner.may_order():
             logger.warning(
-                'Worker {} is silent, process_ended={} lease_over={}: {} runs'
-                ' lost',
+                'Worker {} is silent and its lease is over, refuses_connections'
+                '={}: {} runs lost',
                 self.worker.worker,
-                process_ended,
-                self.clock.leases_expired(now_s),
+                self.is_unreachable,
                 len(lost),
             )
             await self._commit_ends([
--- a/mangotrail/graphs/session_owner.py
+++ b/mangotrail/graphs/session_owner.py
@@ -15,10 +15,6 @@
 
 # Pause before a call to a worker is retried.
 RETRY_PAUSE_S = 0.1
-# After the address of a worker has refused connections for this long, its
-# process has ended, and with it all its runs. A restarted process at the same
-# address answers as another life.
-UNREACHABLE_TIMEOUT_S = 0.6
 # Longest time from the commit of a run until its start order takes effect. The
 # platform may execute an order without an answer up to 12 s later; one more
 # second covers the sending.
--- a/mangotrail/graphs/successor_cleanup.py
+++ b/mangotrail/graphs/successor_cleanup.py
@@ -13,7 +13,6 @@
 from mangotrail.graphs.session_owner import (
     MAX_ORDER_DELAY_S,
     RETRY_PAUSE_S,
-    UNREACHABLE_TIMEOUT_S,
     SessionOwner,
 )
 from mangotrail.graphs.tracked_run import TrackedRun
@@ -70,7 +69,7 @@
                 self.unresponsive_since_s = min(
                     self.unresponsive_since_s, sent_s
                 )
-                self._drop_expired(listing)
+                self._drop_expired()
             elif not listing.is_same_worker:
                 # A worker with another id refuses all these orders.
                 self.runs.clear()
@@ -95,23 +94,17 @@
             ):
                 self.stopped.add(task)
 
-    def _drop_expired(self, failure: RenewalFailure) -> None:
+    def _drop_expired(self) -> None:
         """Drop runs that cannot be on the unresponsive successor either."""
         now_s = self.owner.clock.monotonic_s()
         unresponsive_s = now_s - self.unresponsive_since_s
         lease_s = (self.owner.timing.lease_ms + PREVIOUS_LEASE_MARGIN_MS) / 1000
         lease_expiry_s = lease_s / (1 - MAX_CLOCK_DRIFT)
-        process_ended = (
-            failure is RenewalFailure.NO_PROCESS
-            and unresponsive_s >= UNREACHABLE_TIMEOUT_S
-        )
         for task, tracked in list(self.runs.items()):
             order_expiry_s = min(
                 tracked.order_expiry_s, tracked.since_s + MAX_ORDER_DELAY_S
             )
-            if order_expiry_s <= now_s and (
-                process_ended or unresponsive_s > lease_expiry_s
-            ):
+            if order_expiry_s <= now_s and unresponsive_s > lease_expiry_s:
                 del self.runs[task]
 
     async def _commit_listed(self, listing: Listing) -> None:
--- a/mangotrail/graphs/worker_connection.py
+++ b/mangotrail/graphs/worker_connection.py
@@ -99,8 +99,9 @@
     """Why a lease renewal gave no listing."""
 
     NO_ANSWER = 'no_answer'
-    # The connection was refused, so the process of the worker has ended.
-    NO_PROCESS = 'no_process'
+    # The connection was refused: the process of the worker has ended, or a
+    # partition resets connections.
+    REFUSED = 'refused'
 
 
 class WorkerConnection(ABC):
--- a/mangotrail/lean_http.py
+++ b/mangotrail/lean_http.py
@@ -52,7 +52,7 @@
 
     # The request may have been processed.
     NO_RESPONSE = 'no_response'
-    # Nothing listens at the address.
+    # The connection was refused, so that the request was not sent.
     REFUSED = 'refused'
 
 
