Let accepted jobs follow their queue to another service

Callers saw: jobs that waited while a configuration sent their queue to another service stayed queued for good once the workers of the old service had left.

Cause: JobState kept the queue as configured at acceptance, and the planner looked for workers of that service only.

The bound on attempts stays as accepted. Jobs of a removed queue stay as they are. A claim on workers of another service is dropped.

Ruled out: the workers of the new service, on which a later job of the same queue was done at once, and labels and zones. The guarantees of accounts were already read from the configuration in force.

--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -233,15 +233,16 @@
         return units
 
     def keep_claims(self, claims: Mapping[UnitKey, Claim]) -> None:
-        """Keep the claims whose workers all still accept runs."""
+        """Keep the claims whose workers all still accept runs of the unit."""
         units = {unit.key: unit for unit in self.units}
         for key, claim in claims.items():
             unit = units.get(key)
-            usable = all(
-                life in self.workers and self.workers[life].is_open
-                for _, life in claim.placements
-            )
-            if unit is not None and usable:
+            if unit is None:
+                continue
+            suitable = {
+                capacity.worker.life for capacity in self.suitable_workers(unit)
+            }
+            if suitable.issuperset(life for _, life in claim.placements):
                 self.claims[key] = claim
                 for _, life in claim.placements:
                     self.workers[life].allocate(unit.step.spec)
--- a/mangotrail/graphs/records.py
+++ b/mangotrail/graphs/records.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterator, Sequence
 
+import msgspec
+
 from mangotrail._graphs import (
     GraphSpec,
     JobImage,
@@ -109,7 +111,7 @@
     """One accepted job.
 
     :param graph: the job as submitted.
-    :param queue: its queue as configured at acceptance.
+    :param queue: its queue as configured now, or when it was last configured.
     :param accepted_ms: time of acceptance in Unix milliseconds.
     """
 
@@ -150,6 +152,16 @@
         }
         return job
 
+    def follow_queue(self, queue: QueueSpec) -> None:
+        """Adopt the definition of its queue in a later configuration.
+
+        The bound on attempts stays as accepted, so that a lower one does not
+        fail the job for attempts that it was granted.
+        """
+        self.queue = msgspec.structs.replace(
+            queue, max_attempts=self.queue.max_attempts
+        )
+
     @property
     def is_live(self) -> bool:
         """Whether tasks of the job may still start."""
--- a/mangotrail/graphs/state.py
+++ b/mangotrail/graphs/state.py
@@ -5,7 +5,7 @@
 clock, draws no random number and does not depend on the order of a set.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 import msgspec
@@ -21,6 +21,7 @@
     GraphCommand,
     JobPhase,
     OpenOccurrence,
+    QueueSpec,
     RegisterWorker,
     RemoveWorker,
     RunEnd,
@@ -96,8 +97,28 @@
         """Put a configuration in force if it is newer."""
         if body.configuration.version > self.version:
             self.configuration = body.configuration
+            self.update_queues(body.configuration.queues)
         return DONE
 
+    def update_queues(self, queues: Sequence[QueueSpec]) -> None:
+        """Let live jobs follow their queues, which may have other workers now.
+
+        A queue is known by its id, or else by the address that callers use. The
+        jobs of a queue that is not configured any more stay as they are.
+        """
+        by_id = {queue.queue: queue for queue in queues}
+        by_address = {
+            (queue.host, queue.path_prefix): queue for queue in queues
+        }
+        for job in self.jobs.values():
+            known = job.queue
+            queue = by_id.get(known.queue) or by_address.get((
+                known.host,
+                known.path_prefix,
+            ))
+            if queue is not None and job.is_live:
+                job.follow_queue(queue)
+
     def set_zone(self, body: SetZone, now_ms: int) -> Applied:
         """Close or reopen an availability zone for starts."""
         if body.open:
@@ -300,6 +321,9 @@
         self.jobs = {
             entry.graph.job: JobState.from_image(entry) for entry in image.jobs
         }
+        if image.configuration is not None:
+            # Older snapshots hold the queues as they were at acceptance.
+            self.update_queues(image.configuration.queues)
         self.runs = {start.task: start for start in image.runs}
         self.departed = {
             entry.life: entry.removed_ms for entry in image.departed
--- a/tests/test_graph_planning.py
+++ b/tests/test_graph_planning.py
@@ -2,6 +2,8 @@
 
 from collections import Counter
 
+import msgspec
+
 from mangotrail._graphs import (
     DrainWorker,
     RegisterWorker,
@@ -17,7 +19,7 @@
 from mangotrail.graphs.preemption import RunInfo
 from mangotrail.graphs.state import GraphState
 from mangotrail.graphs.units import entitled_jobs
-from mangotrail.ids import AccountId, JobId, LifeId
+from mangotrail.ids import AccountId, JobId, LifeId, ServiceId
 from tests.graph_fakes import (
     NORMAL,
     URGENT,
@@ -30,6 +32,7 @@
 )
 
 WORKERS = 8
+OTHER_SERVICE = ServiceId('other')
 
 # Slowdown of a gang across racks and of tasks far from their data.
 SPREAD_FACTOR = 3.0
@@ -199,6 +202,51 @@
         assert {start.life for start in harness.plan().starts} == {'w7@1'}
 
 
+class TestServices:
+    """Jobs whose queue moves to the workers of another service."""
+
+    def move_queues(self, harness: PlannerHarness) -> None:
+        """Let both queues use another service, which has one worker."""
+        moved = configuration(3)
+        queues = [
+            msgspec.structs.replace(queue, service=OTHER_SERVICE)
+            for queue in moved.queues
+        ]
+        spec = msgspec.structs.replace(
+            worker_spec(WORKERS), service=OTHER_SERVICE
+        )
+        apply(
+            harness.state,
+            SetConfiguration(
+                configuration=msgspec.structs.replace(moved, queues=queues)
+            ),
+            RegisterWorker(worker=spec),
+        )
+
+    def test_waiting_job(self) -> None:
+        """Waiting tasks start on workers of the new service."""
+        harness = PlannerHarness()
+        harness.submit('running', step_spec(WORKERS, 8))
+        harness.plan()
+        harness.submit('waiting', step_spec(1, 8))
+        assert not harness.plan().starts
+        self.move_queues(harness)
+        starts = harness.plan().starts
+        assert [start.life for start in starts] == ['w8@1']
+
+    def test_claim(self) -> None:
+        """A claim on workers of the old service is dropped."""
+        harness = PlannerHarness()
+        harness.submit('running', step_spec(WORKERS, 8))
+        harness.plan()
+        harness.submit('urgent', step_spec(1, 8, gang=True), urgent=True)
+        assert harness.plan().claims
+        self.move_queues(harness)
+        plan = harness.plan()
+        assert not plan.claims
+        assert [start.life for start in plan.starts] == ['w8@1']
+
+
 class TestRecentFailures:
     """Workers with a recent failure."""
 
--- a/tests/test_graph_state.py
+++ b/tests/test_graph_state.py
@@ -1,12 +1,16 @@
 """Tests that commands do not lose, duplicate or revive work."""
 
+import msgspec
+
 from mangotrail._graphs import (
     CancelGraph,
+    Configuration,
     DrainWorker,
     EndKind,
     EndRuns,
     JobPhase,
     OpenOccurrence,
+    QueueSpec,
     RegisterWorker,
     RemoveWorker,
     RunEnd,
@@ -19,17 +23,20 @@
     Verdict,
 )
 from mangotrail.graphs.state import RETENTION_MS, GraphState
-from mangotrail.ids import AccountId, JobId, ZoneId
+from mangotrail.ids import AccountId, JobId, QueueId, ServiceId, ZoneId
 from tests.graph_fakes import (
+    NORMAL,
     apply,
     configuration,
     filled_state,
     graph_spec,
+    queue_spec,
     step_spec,
     worker_spec,
 )
 
 WORKER = worker_spec(0)
+OTHER_SERVICE = ServiceId('other')
 
 
 def key(index: int = 0, step: int = 0, occurrence: int = 0) -> TaskKey:
@@ -64,6 +71,11 @@
     return state
 
 
+def with_queues(version: int, *queues: QueueSpec) -> Configuration:
+    """Return a configuration with other queues."""
+    return msgspec.structs.replace(configuration(version), queues=queues)
+
+
 def job_of(state: GraphState) -> object:
     """Return the job under test."""
     return state.jobs[JobId('job')]
@@ -83,6 +95,70 @@
             assert state.configuration == configuration(7)
 
 
+class TestQueues:
+    """Accepted jobs whose queue changes."""
+
+    def test_moved(self) -> None:
+        """A waiting job follows its queue to another service.
+
+        It used to wait for workers of the service of its acceptance, for good
+        once these had left.
+        """
+        state = filled_state(graph_spec('job'))
+        moved = queue_spec(NORMAL, 0, service=OTHER_SERVICE, stretch=5.0)
+        apply(state, SetConfiguration(configuration=with_queues(2, moved)))
+        assert job_of(state).queue.service == OTHER_SERVICE
+        assert job_of(state).queue.priority == 0
+        restored = GraphState()
+        restored.restore(state.snapshot())
+        assert job_of(restored).queue == job_of(state).queue
+
+    def test_attempts_stay(self) -> None:
+        """A later bound on attempts does not fail a job accepted before."""
+        state = running_state()
+        fewer = queue_spec(NORMAL, 1, max_attempts=1)
+        apply(
+            state,
+            SetConfiguration(configuration=with_queues(2, fewer)),
+            end(key(), EndKind.FAILED),
+        )
+        assert job_of(state).is_live
+
+    def test_renamed(self) -> None:
+        """A queue keeps its jobs under a new name at the same address."""
+        state = filled_state(graph_spec('job'))
+        renamed = queue_spec(
+            QueueId('renamed'),
+            1,
+            path_prefix=f'/{NORMAL}/',
+            service=OTHER_SERVICE,
+        )
+        apply(state, SetConfiguration(configuration=with_queues(2, renamed)))
+        assert job_of(state).queue.queue == QueueId('renamed')
+        assert job_of(state).queue.service == OTHER_SERVICE
+
+    def test_removed(self) -> None:
+        """The jobs of a removed queue run as they were accepted."""
+        state = filled_state(graph_spec('job'))
+        accepted = job_of(state).queue
+        apply(state, SetConfiguration(configuration=with_queues(2)))
+        assert job_of(state).queue == accepted
+
+    def test_older_snapshot(self) -> None:
+        """A job from a snapshot with the queue of its acceptance follows too.
+
+        Such snapshots were written before jobs followed their queues.
+        """
+        state = filled_state(graph_spec('job'))
+        accepted = job_of(state).queue
+        moved = queue_spec(NORMAL, 1, service=OTHER_SERVICE)
+        apply(state, SetConfiguration(configuration=with_queues(2, moved)))
+        job_of(state).queue = accepted
+        restored = GraphState()
+        restored.restore(state.snapshot())
+        assert job_of(restored).queue.service == OTHER_SERVICE
+
+
 class TestSubmissions:
     """Submitted jobs."""
 
