Take no run for gone while a worker has more ends to list

Callers saw: done tasks ran again, 200 of 700 on one worker, after a change of leader.

Cause: a worker lists 500 ends at a time. A run that was neither running nor among the listed ends counted as never started, or as lost if it had been present.

Change: the adapter tells whether the list of ends is full; then no run counts as gone, and the worker gets nothing new until a later list is complete. The same inference in the cleanup of a successor waits too.

Ruled out: ends acknowledged before they were committed, and the kill of the leader: the test shows the fault without a change of leader as well. Lists of running tasks are never cut.

--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -2,8 +2,9 @@
 
 A session renews the lease of the worker, learns which runs are present and
 which have ended, and sends orders. A run counts as ended only if the worker
-lists its end, no longer lists it after answering a stop of it, answers under
-another life, or if every lease that the worker was granted has expired.
+lists its end, lists neither it nor its end after answering a stop of it,
+answers under another life, or if every lease that the worker was granted has
+expired.
 """
 
 import asyncio
@@ -332,14 +333,15 @@
             for task, tracked in self.runs.items()
             if task not in ended
             and (task, tracked.start.run) not in listed_keys
+            # Its end may be among those that are not listed yet.
+            and not listing.has_more_ends
             and self._is_gone(tracked, sent_s)
         )
-        first = not self.is_synchronized
         if ends and not await self._commit_ends(ends):
             return
         self.acknowledged = newest
-        self.is_synchronized = True
-        if first:
+        if not self.is_synchronized and not listing.has_more_ends:
+            self.is_synchronized = True
             self.owner.replan()
 
     def _is_gone(self, tracked: TrackedRun, sent_s: float) -> bool:
--- a/mangotrail/graphs/successor_cleanup.py
+++ b/mangotrail/graphs/successor_cleanup.py
@@ -116,7 +116,11 @@
             key = (task, tracked.start.run)
             if key in ended:
                 ends.append(tracked.reported_end(ended[key]))
-            elif task in self.stopped and key not in running:
+            elif (
+                task in self.stopped
+                and key not in running
+                and not listing.has_more_ends
+            ):
                 ends.append(tracked.inferred_end(EndKind.LOST))
         if ends and await self.commit_ends(ends):
             for end in ends:
--- a/mangotrail/graphs/worker_connection.py
+++ b/mangotrail/graphs/worker_connection.py
@@ -81,6 +81,8 @@
     """Answer of a worker to a lease renewal.
 
     :param clock_ms: reading of the worker's monotonic clock.
+    :param has_more_ends: whether the worker has ends that it has not listed; it
+        lists them once those listed are acknowledged.
     :param is_same_life: False if another life answered.
     :param is_same_worker: False if that life has another worker id. It then
         refuses all orders to this worker; under the same id it accepts them.
@@ -90,6 +92,7 @@
     clock_ms: int
     running: Sequence[ListedRun] = ()
     ends: Sequence[ListedEnd] = ()
+    has_more_ends: bool = False
     is_same_life: bool = True
     is_same_worker: bool = True
     is_fenced: bool = False
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -61,6 +61,8 @@
 STOP_S = 0.2
 GANG_WAIT_S = 3.0
 LEASE_MS = 10_000
+# Ends that a worker lists at a time.
+LISTED_ENDS = 500
 CAPACITY = Resources(cpu_millis=32_000, memory_mb=131_072, accelerators=8)
 
 SETTINGS = GraphSettings(
@@ -300,7 +302,8 @@
                 )
                 for task, fake_run in self.runs.items()
             ),
-            ends=tuple(self.ends),
+            ends=tuple(self.ends[:LISTED_ENDS]),
+            has_more_ends=len(self.ends) > LISTED_ENDS,
         )
 
 
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -20,6 +20,8 @@
     Heartbeat,
     JobPhase,
     RegisterWorker,
+    RemoveWorker,
+    Resources,
     StepSpec,
     SubmitGraph,
     TaskKey,
@@ -612,6 +614,46 @@
         cluster.check()
 
 
+class TestManyEnds:
+    """A worker with more ends than it lists at a time."""
+
+    @pytest.mark.parametrize('how', ['takeover', 'silence'])
+    def test_done_once(self, how: str) -> None:
+        """No task of which the end is not listed yet starts again.
+
+        A run that was neither running nor among the listed ends used to count
+        as never started or lost, although its end came with the next listing.
+        """
+        cluster = Cluster(seed=10, faults=0.0)
+        wide = step_spec(
+            700, need=Resources(cpu_millis=40, memory_mb=10, accelerators=0)
+        )
+        (worker, *others) = cluster.connector.all
+        worker.duration_s = 4.0
+
+        async def scenario() -> None:
+            for other in others:
+                other.crash()
+                apply(cluster.state, RemoveWorker(life=other.spec.life))
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('job', wide))
+            cluster.leader.replan()
+            await asyncio.sleep(3.0)
+            assert len(worker.started) == 700
+            cluster.connector.cut.add(worker.spec.address)
+            await asyncio.sleep(4.0)
+            if how == 'takeover':
+                cluster.elect()
+            cluster.connector.cut.clear()
+            await asyncio.sleep(30)
+
+        run_virtual(scenario(), cluster.loop)
+        assert len(worker.started) == 700
+        assert set(cluster.leader.telemetry.ends.values) == {'done'}
+        cluster.check()
+
+
 class TestTakeover:
     """A leader that adopts runs of an earlier leader."""
 
