Keep a cancellation that comes as a command is resolved

Reproduced with real processes: an instance that had led once was elected again and served nothing.

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that arrives when its future is done. A member that stops leading resolves its pending commands and cancels the leader of the term within 20 ms; after a pause both come together. A session then went on, the leader waited for its end, and the instance waited for the leader, for good.

A leader that does not end within 1 s is logged and cancelled again.

Ruled out: ended processes and lost connections.

--- a/mangotrail/_log_replica.py
+++ b/mangotrail/_log_replica.py
@@ -139,7 +139,8 @@
         self.proposals[index] = (term, future)
         self.wake.set()
         try:
-            result = await asyncio.wait_for(future, COMMIT_TIMEOUT_S)
+            async with asyncio.timeout(COMMIT_TIMEOUT_S):
+                result = await future
         except TimeoutError:
             raise UndecidedError(
                 'the command was not committed in time',
--- a/mangotrail/control.py
+++ b/mangotrail/control.py
@@ -178,7 +178,8 @@
         try:
             if not self._is_finished(job):
                 with suppress(TimeoutError):
-                    await asyncio.wait_for(changed.wait(), body.wait_s)
+                    async with asyncio.timeout(body.wait_s):
+                        await changed.wait()
         finally:
             waiters.discard(changed)
             if not waiters:
@@ -238,14 +239,17 @@
             return None
         self.call_number += 1
         number = self.call_number
-        future = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[ReplyBody] = (
+            asyncio.get_running_loop().create_future()
+        )
         self.pending[number] = future
         call = ForwardedCall(
             number=number, instance=self.settings.instance, body=body
         )
         self._send_control(leader, call, purpose=type(body).__name__)
         try:
-            return await asyncio.wait_for(future, FORWARD_TIMEOUT_S)
+            async with asyncio.timeout(FORWARD_TIMEOUT_S):
+                return await future
         except TimeoutError:
             return None
         finally:
--- a/mangotrail/graphs/channels.py
+++ b/mangotrail/graphs/channels.py
@@ -91,7 +91,8 @@
         try:
             if not self.enqueue(frame):
                 return None
-            return await asyncio.wait_for(future, timeout_s)
+            async with asyncio.timeout(timeout_s):
+                return await future
         except TimeoutError:
             if (
                 self.last_received_s < started_s
--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -46,6 +46,8 @@
 
 # Time-out of a call that is forwarded to the leader.
 FORWARD_TIMEOUT_S = 3.0
+# Its sessions only close connections when the leader of a term ends.
+END_TIMEOUT_S = 1.0
 # Interval between checks whether this member leads.
 LEADERSHIP_PERIOD_S = 0.02
 
@@ -143,12 +145,20 @@
                 while self._still_leads(leader) and not task.done():
                     await asyncio.wait([task], timeout=LEADERSHIP_PERIOD_S)
                 self.leader = None
-                task.cancel()
-                await asyncio.wait([task])
-                if not task.cancelled():
-                    task.result()
+                await self._end(leader, task)
             await asyncio.sleep(LEADERSHIP_PERIOD_S)
 
+    async def _end(self, leader: GraphLeader, task: asyncio.Task[None]) -> None:
+        """End the leader of a term, which must not hold up the next one."""
+        task.cancel()
+        while not task.done():
+            await asyncio.wait([task], timeout=END_TIMEOUT_S)
+            if not task.done():
+                logger.error('The leader of term {} does not end', leader.term)
+                task.cancel()
+        if not task.cancelled():
+            task.result()
+
     def _still_leads(self, leader: GraphLeader) -> bool:
         return self.replica.is_leader() and self.replica.term() == leader.term
 
--- a/tests/test_graph_control.py
+++ b/tests/test_graph_control.py
@@ -1,5 +1,7 @@
 """Guards against incorrect replies and calls that are forwarded in a loop."""
 
+import asyncio
+from math import inf
 from pathlib import Path
 
 import msgspec
@@ -14,12 +16,15 @@
     JobPhase,
     PutConfiguration,
     ReadConfiguration,
+    SetConfiguration,
     Submit,
+    SubmitGraph,
     Verdict,
     Watch,
 )
 from mangotrail.clock import ManualClock
 from mangotrail.graphs.control import GraphControl
+from mangotrail.graphs.leader import GraphLeader
 from mangotrail.ids import AccountId, JobId, ZoneId
 from tests.graph_fakes import (
     ACCOUNT,
@@ -146,3 +151,83 @@
         reply = await control.handle(Watch(held_version=3, wait_ms=10))
         assert reply.configuration is None
         assert reply.instances == SETTINGS.seeds
+
+
+class TestLeadership:
+    """The leader of a term, which ends with the term."""
+
+    @pytest.fixture
+    def led(self, control: GraphControl) -> GraphControl:
+        """Return a control instance that leads and commits nothing."""
+        control.leader = None
+        replica = control.replica
+        replica.current_term = 1
+        replica.term = lambda: replica.current_term
+        replica.is_leader = lambda: True
+        replica.has_authority = lambda: True
+        replica.quorum_contact_s = control.clock.monotonic_s
+        del replica.propose
+        replica.agreement.propose = lambda payload, now_s: (
+            len(replica.proposals),
+            replica.current_term,
+        )
+        apply(
+            replica.state,
+            SetConfiguration(configuration=configuration()),
+            SubmitGraph(graph=graph_spec('timed', occurrences=1)),
+        )
+        return control
+
+    async def lead(self, control: GraphControl, term: int) -> None:
+        """Wait until the leader of a term has proposed a command."""
+        async with asyncio.timeout(5):
+            while True:
+                leader = control.leader
+                proposed = bool(control.replica.proposals)
+                if leader is not None and leader.term == term and proposed:
+                    return
+                await asyncio.sleep(0.01)
+
+    async def test_next_term(self, led: GraphControl) -> None:
+        """An instance leads again after a command was abandoned.
+
+        The cancellation of the leader used to be lost if it came as a command
+        was abandoned, as after a pause. The instance then waited for the end of
+        that leader: elected again, it answered nothing and ordered nothing,
+        while the other members followed it.
+        """
+        original = led._still_leads
+
+        def lose_term(leader: GraphLeader) -> bool:
+            if led.replica.current_term == leader.term:
+                return original(leader)
+            led.replica._abandon_proposals(inf, 'this member no longer leads')
+            return False
+
+        led._still_leads = lose_term
+        leading = asyncio.create_task(led._lead())
+        await self.lead(led, 1)
+        led.replica.current_term = 2
+        await self.lead(led, 2)
+        leading.cancel()
+
+    async def test_unending(self, led: GraphControl) -> None:
+        """A leader that ignores its cancellation does not hold up the next."""
+
+        async def ignore_first(leader: GraphLeader) -> None:
+            try:
+                await run(leader)
+            except asyncio.CancelledError:
+                if leader.term == 1:
+                    await asyncio.sleep(60)
+                raise
+
+        run = GraphLeader.run
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(GraphLeader, 'run', ignore_first)
+            leading = asyncio.create_task(led._lead())
+            await self.lead(led, 1)
+            led.replica._abandon_proposals(inf, 'this member no longer leads')
+            led.replica.current_term = 2
+            await self.lead(led, 2)
+            leading.cancel()
--- a/tests/test_log_replica.py
+++ b/tests/test_log_replica.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from math import inf
 from random import Random
 from typing import Any
 
@@ -352,6 +353,35 @@
         """No acknowledged entry is lost, and one member has authority."""
         play(seed)
 
+    @pytest.mark.parametrize('resolve', ['abandon', 'commit'])
+    def test_cancelled_while_resolved(self, resolve: str) -> None:
+        """A task that is cancelled as its proposal is resolved does end.
+
+        `asyncio.wait_for` returned the result and dropped the cancellation, so
+        that the leader of an earlier term went on, and its control instance
+        could not lead again.
+        """
+        group = Group(3, members=1)
+
+        async def scenario() -> None:
+            group.start(group.names[0])
+            await asyncio.sleep(SETTLE_S)
+            (leader,) = group.leaders()
+            task = asyncio.create_task(leader.propose_payload(LAST))
+            await asyncio.sleep(0)
+            if resolve == 'abandon':
+                leader._abandon_proposals(inf, 'this member no longer leads')
+            else:
+                ((_, future),) = leader.proposals.values()
+                future.set_result(LAST)
+            task.cancel()
+            await asyncio.wait([task])
+            assert task.cancelled()
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(asyncio, 'to_thread', group.to_thread)
+            run_virtual(scenario(), group.loop)
+
     def test_proposal_covered_by_snapshot(self) -> None:
         """A caller learns at once that the outcome is unknown.
 
