End the leader of a term with its control instance

The leader stayed beside the new instance, with its sessions, connections and timers, once for each failure. Requests in progress kept their connections at the closed instance.

Change: the leader ends with its instance; a closed HTTP server answers the requests in progress and closes their connections.

After: the tests pass.

--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -142,10 +142,12 @@
                 self.telemetry.terms.increment()
                 self.leader = leader
                 task = asyncio.create_task(leader.run())
-                while self._still_leads(leader) and not task.done():
-                    await asyncio.wait([task], timeout=LEADERSHIP_PERIOD_S)
-                self.leader = None
-                await self._end(leader, task)
+                try:
+                    while self._still_leads(leader) and not task.done():
+                        await asyncio.wait([task], timeout=LEADERSHIP_PERIOD_S)
+                finally:
+                    self.leader = None
+                    await self._end(leader, task)
             await asyncio.sleep(LEADERSHIP_PERIOD_S)
 
     async def _end(self, leader: GraphLeader, task: asyncio.Task[None]) -> None:
--- a/mangotrail/lean_http.py
+++ b/mangotrail/lean_http.py
@@ -113,7 +113,8 @@
         self.is_draining = True
 
     def close(self) -> None:
-        """Stop listening and close idle connections."""
+        """Stop listening; close each connection once it is idle."""
+        self.drain()
         if self.server is not None:
             self.server.close()
         for connection in list(self.connections):
--- a/tests/test_graph_control.py
+++ b/tests/test_graph_control.py
@@ -231,3 +231,15 @@
             led.replica.current_term = 2
             await self.lead(led, 2)
             leading.cancel()
+
+    async def test_stopped(self, led: GraphControl) -> None:
+        """The leader ends with its instance, as after a failure of the disk.
+
+        It used to go on beside the instance that replaced this one.
+        """
+        leading = asyncio.create_task(led._lead())
+        await self.lead(led, 1)
+        leading.cancel()
+        await asyncio.wait([leading])
+        assert led.leader is None
+        assert asyncio.all_tasks() == {asyncio.current_task()}
--- a/tests/test_lean_http.py
+++ b/tests/test_lean_http.py
@@ -126,6 +126,28 @@
         client = await harness.open()
         assert await harness.raw(client.port, b'') == b''
 
+    async def test_closed_while_busy(self, harness: Harness) -> None:
+        """A request in progress is answered, then its connection closes.
+
+        The connection used to stay with the handler of the closed server, and
+        all later requests on it with that handler, although another server
+        listened at the address by then.
+        """
+        harness.server.limits = ServerLimits(idle_s=30)
+        client = await harness.open()
+        call = asyncio.create_task(client.request('GET', '/slow', b'x', 2))
+        await asyncio.sleep(0.1)
+        harness.server.close()
+        assert (await call).body == b'x'
+        for _ in range(20):
+            if not harness.server.connections:
+                break
+            await asyncio.sleep(0.01)
+        assert not harness.server.connections
+        assert await client.request('GET', '/', b'', 2) is (
+            RequestFailure.REFUSED
+        )
+
     async def test_draining(self, harness: Harness) -> None:
         """Guards against a drain that drops requests or keeps connections."""
         client = await harness.open()
