Tell each new life of a worker which late orders to refuse

Callers saw: a task ran twice at once after its start order got no answer and was carried out seconds late by the next life of the worker.

Cause: an answered stop rules an order out on the life that answered. The leader then forgot the order, and the next life, whose clock starts anew, knew neither the stop nor that the deadline had passed.

Ruled out: the deadline of the order, and the cleanup of a successor, which knows tracked runs only.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -35,6 +35,7 @@
 from mangotrail.graphs.blocked_lives import blocked_lives
 from mangotrail.graphs.capacity import WorkerCapacity
 from mangotrail.graphs.group import GraphReplica
+from mangotrail.graphs.late_orders import LateOrders
 from mangotrail.graphs.planning import Claim, Plan, Planner
 from mangotrail.graphs.preemption import RunInfo
 from mangotrail.graphs.quarantine import (
@@ -94,6 +95,7 @@
         self.clock = clock
         self.wall = wall
         self.term = replica.term()
+        self.late_orders = LateOrders(clock)
         self.sessions: dict[LifeId, Session] = {}
         self.session_tasks: dict[LifeId, asyncio.Task[None]] = {}
         self.claims: dict[UnitKey, Claim] = {}
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -176,6 +176,7 @@
 
         :raises SessionFaultError: if sending an order raised an exception.
         """
+        self._bar_late_orders()
         try:
             while not self.is_ended:
                 if self.fault is not None:
@@ -287,6 +288,9 @@
             # Prevents queued start orders from being sent.
             tracked.phase = RunPhase.STOPPING
         if listing.is_same_worker:
+            # Late orders that were settled on this life; a run that is still
+            # tracked is stopped by the cleanup.
+            self._bar_late_orders()
             cleanup = SuccessorCleanup(
                 connection=self.connection,
                 owner=self.owner,
@@ -302,8 +306,12 @@
         """Reconcile the runs that the worker lists with the expected ones."""
         ends: list[RunEnd] = []
         newest = self.acknowledged
+        late_orders = self.owner.late_orders
         for listed_end in listing.ends:
             newest = max(newest, listed_end.number)
+            late_orders.discard(
+                self.worker.worker, listed_end.task, listed_end.run
+            )
             tracked = self.runs.get(listed_end.task)
             if tracked is not None and tracked.start.run == listed_end.run:
                 ends.append(tracked.reported_end(listed_end))
@@ -315,6 +323,7 @@
         listed_keys = set()
         for listed in listing.running:
             listed_keys.add((listed.task, listed.run))
+            late_orders.discard(self.worker.worker, listed.task, listed.run)
             tracked = self.runs.get(listed.task)
             if tracked is None or tracked.start.run != listed.run:
                 self._stop_unexpected(listed.task, listed.run)
@@ -396,7 +405,14 @@
             if answer is StartAnswer.FENCED:
                 self._handle_fence()
             await self._handle_refusal(tracked, answer, now_s)
-        elif answer is StartAnswer.UNANSWERED and self._is_current(tracked):
+        elif answer is StartAnswer.UNANSWERED:
+            self.owner.late_orders.add(
+                self.worker.worker,
+                order.task,
+                order.run,
+                tracked.order_expiry_s,
+            )
+        if answer is StartAnswer.UNANSWERED and self._is_current(tracked):
             logger.warning(
                 'Start of {} run {} on {} got no answer',
                 order.task,
@@ -452,6 +468,14 @@
             tracked.phase = RunPhase.STOPPED
             tracked.stop_answered_s = self.owner.clock.monotonic_s()
 
+    def _bar_late_orders(self) -> None:
+        """Make the life at the address refuse late orders for an earlier one.
+
+        Each life needs to be told, because it knows no stop of another one.
+        """
+        for task, run in self.owner.late_orders.pending(self.worker.worker):
+            self._spawn(self._send_stop(task, run, None))
+
     def _stop_unexpected(self, task: TaskKey, run: int) -> None:
         logger.warning(
             'Worker {} runs {} run {}, which is not wanted',
--- a/mangotrail/graphs/session_owner.py
+++ b/mangotrail/graphs/session_owner.py
@@ -7,6 +7,7 @@
 from mangotrail._graph_settings import GraphTiming
 from mangotrail._graphs import RunEnd, RunStart, TaskKey
 from mangotrail.clock import Clock
+from mangotrail.graphs.late_orders import LateOrders
 from mangotrail.graphs.worker_connection import StartAnswer
 from mangotrail.ids import WorkerId
 
@@ -27,6 +28,7 @@
     clock: Clock
     timing: GraphTiming
     term: int
+    late_orders: LateOrders
 
     @abstractmethod
     def may_order(self) -> bool:
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -197,6 +197,7 @@
     ) -> None:
         self.spec = spec
         self.clock = clock
+        self.begun_s = clock.monotonic_s()
         self.duration_s = duration_s
         self.fence = 0
         self.runs: dict[TaskKey, FakeRun] = {}
@@ -217,8 +218,8 @@
         )
 
     def clock_ms(self) -> int:
-        """Return the monotonic clock of the worker, which is 1 % slow."""
-        return round(self.clock.monotonic_s() * 990)
+        """Return the clock of this life, which is 1 % slow."""
+        return round((self.clock.monotonic_s() - self.begun_s) * 990)
 
     def start(self, order: StartOrder) -> StartAnswer:
         """Execute a start order."""
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -514,6 +514,70 @@
         run_virtual(scenario(), cluster.loop)
         cluster.check()
 
+    @pytest.mark.parametrize('lives', [1, 2])
+    @pytest.mark.parametrize('answers_stop_s', [0.0, 1.0])
+    def test_order_after_stop(
+        self, *, lives: int, answers_stop_s: float
+    ) -> None:
+        """An order without an answer starts nothing on a later life.
+
+        The life that it was meant for answers a stop, so that the task starts
+        elsewhere, and then crashes. The next life knew nothing of the stop: it
+        carried out the late order, beside the later run of the task.
+
+        :param lives: number of lives that begin before the order is late.
+        :param answers_stop_s: time for which each new life answers nothing.
+        """
+        cluster = Cluster(seed=11, faults=0.0)
+        for worker in cluster.connector.all:
+            worker.duration_s = 30.0
+        cluster.connector.duration_s = 30.0
+        late: list[Any] = []
+        silent_until_s: dict[str, float] = {}
+        original_start = FakeConnection.start
+        original_stop = FakeConnection.stop
+
+        async def start(connection: FakeConnection, order: Any) -> Any:
+            if late:
+                return await original_start(connection, order)
+            late.extend([connection, order])
+            cluster.loop.call_later(8.0, connection.delay_start, order)
+            # The task starts elsewhere.
+            cluster.leader.quarantine_tracker.quarantine(
+                connection.spec.life, cluster.clock.monotonic_s()
+            )
+            await asyncio.sleep(0.6)
+            return StartAnswer.UNANSWERED, 0
+
+        async def stop(connection: FakeConnection, *args: Any) -> bool:
+            until_s = silent_until_s.get(connection.spec.address, -inf)
+            if cluster.clock.monotonic_s() < until_s:
+                return False
+            return await original_stop(connection, *args)
+
+        async def scenario() -> None:
+            watch = asyncio.create_task(cluster.check_invariants())
+            cluster.elect()
+            # The clock of a later life does not reach the deadline in time.
+            await asyncio.sleep(20)
+            apply(cluster.state, _submit('job', step_spec(1, 1)))
+            cluster.leader.replan()
+            await asyncio.sleep(3.5)
+            address = late[0].spec.address
+            for _ in range(lives):
+                now_s = cluster.clock.monotonic_s()
+                silent_until_s[address] = now_s + answers_stop_s
+                cluster.replace(cluster.connector.at[address], 0.3)
+                await asyncio.sleep(1.5)
+            await asyncio.sleep(40)
+            watch.cancel()
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(FakeConnection, 'start', start)
+            patch.setattr(FakeConnection, 'stop', stop)
+            run_virtual(scenario(), cluster.loop)
+        cluster.check()
+
     def test_ends_stay_listed(self) -> None:
         """A successor receives no acknowledgements meant for its predecessor.
 
