Do not take tasks that ask for no processor for stalled

Callers saw: a task without cpu was stopped and started again every few seconds and never done.

Cause: any task that used no processor for 1.2 s counted as stalled.

Change: steps that ask for no processor are not watched for stalls. Ruled out: the usage that workers list, which is 0 for such a task by right.

Before: the new test failed.

--- a/mangotrail/graphs/quarantine.py
+++ b/mangotrail/graphs/quarantine.py
@@ -117,6 +117,8 @@
         step = job.step(task) if job else None
         if step is None or step.spec.lasting or step.spec.fills:
             continue
+        if not step.spec.need.cpu_millis:
+            continue
         single = 0 if step.spec.gang else task.index + 1
         group = groups.setdefault(
             (task.job, task.occurrence, task.step, single), []
--- a/tests/test_graph_suspicion.py
+++ b/tests/test_graph_suspicion.py
@@ -1,6 +1,6 @@
 """Guards against workers that fail or stall every run they get."""
 
-from mangotrail._graphs import RunStart, TaskKey
+from mangotrail._graphs import Resources, RunStart, TaskKey
 from mangotrail.graphs.quarantine import (
     FAILURE_WINDOW_S,
     QUARANTINE_S,
@@ -121,6 +121,15 @@
         state.jobs[JobId('job')].occurrences[0][0].mark_done(0)
         assert not any(stall_groups(state, members))
 
+    def test_without_processor(self) -> None:
+        """A task that asks for no processor may use none.
+
+        It was taken for stalled, stopped every few seconds and never done.
+        """
+        need = Resources(cpu_millis=0, memory_mb=100, accelerators=1)
+        state = filled_state(graph_spec('job', step_spec(1, need=need)))
+        assert not stall_groups(state, [task(0)])
+
     def test_only_idle_workers(self) -> None:
         """A worker with a working run is not reported."""
         usages = {
