Rename and split what stops a newcomer in the session and the leader

Cause: read as a newcomer, "doubt" and "bar" are private words, _end and its time limit do not say what ends, and _send_order also handled a lost answer.

Change: require_confirmation, confirm_after_s, _stop_late_orders, _end_leader and LEADER_END_TIMEOUT_S; _handle_lost_answer is split from _send_order.

--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -46,8 +46,8 @@
 
 # Time-out of a call that is forwarded to the leader.
 FORWARD_TIMEOUT_S = 3.0
-# Its sessions only close connections when the leader of a term ends.
-END_TIMEOUT_S = 1.0
+# Time for the leader of a term to end; its sessions only close connections.
+LEADER_END_TIMEOUT_S = 1.0
 # Interval between checks whether this member leads.
 LEADERSHIP_PERIOD_S = 0.02
 
@@ -147,14 +147,16 @@
                         await asyncio.wait([task], timeout=LEADERSHIP_PERIOD_S)
                 finally:
                     self.leader = None
-                    await self._end(leader, task)
+                    await self._end_leader(leader, task)
             await asyncio.sleep(LEADERSHIP_PERIOD_S)
 
-    async def _end(self, leader: GraphLeader, task: asyncio.Task[None]) -> None:
+    async def _end_leader(
+        self, leader: GraphLeader, task: asyncio.Task[None]
+    ) -> None:
         """End the leader of a term, which must not hold up the next one."""
         task.cancel()
         while not task.done():
-            await asyncio.wait([task], timeout=END_TIMEOUT_S)
+            await asyncio.wait([task], timeout=LEADER_END_TIMEOUT_S)
             if not task.done():
                 logger.error('The leader of term {} does not end', leader.term)
                 task.cancel()
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -102,8 +102,8 @@
         self.quarantine_tracker = QuarantineTracker()
         self.logged_waits: set[UnitKey] = set()
         self.wake = asyncio.Event()
-        # When a worker last answered that it knows a later leader.
-        self.doubted_s = -inf
+        # A round sent after this must be answered before orders may be sent.
+        self.confirm_after_s = -inf
 
     # Interface for sessions.
 
@@ -116,7 +116,7 @@
         return (
             self.replica.term() == self.term
             and self.replica.has_authority()
-            and self.replica.quorum_contact_s() > self.doubted_s
+            and self.replica.quorum_contact_s() > self.confirm_after_s
         )
 
     def wall_ms(self) -> int:
@@ -179,10 +179,10 @@
                     return
             await asyncio.sleep(MIN_PLAN_INTERVAL_S)
 
-    def doubt_authority(self, worker: WorkerId) -> None:
+    def require_confirmation(self, worker: WorkerId) -> None:
         """Send no orders until a majority confirms that this member leads."""
         logger.warning('Term {} is over for worker {}', self.term, worker)
-        self.doubted_s = self.clock.monotonic_s()
+        self.confirm_after_s = self.clock.monotonic_s()
 
     def count_answer(self, answer: StartAnswer) -> None:
         """Count the answer to a start order."""
--- a/mangotrail/graphs/quarantine.py
+++ b/mangotrail/graphs/quarantine.py
@@ -117,7 +117,7 @@
         step = job.step(task) if job else None
         if step is None or step.spec.lasting or step.spec.fills:
             continue
-        if not step.spec.need.cpu_millis:
+        if not step.spec.need.cpu_millis:  # It may use none by right.
             continue
         single = 0 if step.spec.gang else task.index + 1
         group = groups.setdefault(
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -176,7 +176,7 @@
 
         :raises SessionFaultError: if sending an order raised an exception.
         """
-        self._bar_late_orders()
+        self._stop_late_orders()
         try:
             while not self.is_ended:
                 if self.fault is not None:
@@ -264,7 +264,7 @@
         """
         if not self.is_fenced:
             self.is_fenced = True
-            self.owner.doubt_authority(self.worker.worker)
+            self.owner.require_confirmation(self.worker.worker)
 
     async def _wait_for_authority(self) -> None:
         """Wait until orders may be sent; cancelled if the term ends."""
@@ -290,7 +290,7 @@
         if listing.is_same_worker:
             # Late orders that were settled on this life; a run that is still
             # tracked is stopped by the cleanup.
-            self._bar_late_orders()
+            self._stop_late_orders()
             cleanup = SuccessorCleanup(
                 connection=self.connection,
                 owner=self.owner,
@@ -406,22 +406,26 @@
                 self._handle_fence()
             await self._handle_refusal(tracked, answer, now_s)
         elif answer is StartAnswer.UNANSWERED:
-            self.owner.late_orders.add(
-                self.worker.worker,
-                order.task,
-                order.run,
-                tracked.order_expiry_s,
-            )
-        if answer is StartAnswer.UNANSWERED and self._is_current(tracked):
-            logger.warning(
-                'Start of {} run {} on {} got no answer',
-                order.task,
-                order.run,
-                self.worker.worker,
-            )
-            if tracked.phase is RunPhase.ORDERED:
-                tracked.phase = RunPhase.UNSURE
-            self.stop(order.task)
+            self._handle_lost_answer(tracked, order)
+
+    def _handle_lost_answer(
+        self, tracked: TrackedRun, order: StartOrder
+    ) -> None:
+        """Stop a run that may or may not have been started."""
+        self.owner.late_orders.add(
+            self.worker.worker, order.task, order.run, tracked.order_expiry_s
+        )
+        if not self._is_current(tracked):
+            return
+        logger.warning(
+            'Start of {} run {} on {} got no answer',
+            order.task,
+            order.run,
+            self.worker.worker,
+        )
+        if tracked.phase is RunPhase.ORDERED:
+            tracked.phase = RunPhase.UNSURE
+        self.stop(order.task)
 
     def _is_current(self, tracked: TrackedRun) -> bool:
         return self.runs.get(tracked.start.task) is tracked
@@ -468,8 +472,8 @@
             tracked.phase = RunPhase.STOPPED
             tracked.stop_answered_s = self.owner.clock.monotonic_s()
 
-    def _bar_late_orders(self) -> None:
-        """Make the life at the address refuse late orders for an earlier one.
+    def _stop_late_orders(self) -> None:
+        """Stop late orders for an earlier life, so that this one refuses them.
 
         Each life needs to be told, because it knows no stop of another one.
         """
--- a/mangotrail/graphs/session_owner.py
+++ b/mangotrail/graphs/session_owner.py
@@ -53,7 +53,7 @@
         """Commit that the life of the worker has ended."""
 
     @abstractmethod
-    def doubt_authority(self, worker: WorkerId) -> None:
+    def require_confirmation(self, worker: WorkerId) -> None:
         """Send no orders until a majority confirms that this member leads.
 
         :param worker: worker that answered that it knows a later leader.
