Order starts that are applied after they were reported as undecided

Cause: a StartRuns that takes longer than 8 s counts as undecided. If it is applied later in the same term, its runs were in the state but in no session, and so were neither ordered nor ended while the term lasted.

Change: after such a command each step orders the runs that no session knows of. Ruled out: the same for other commands, which are proposed again and change nothing twice.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -102,6 +102,7 @@
         self.quarantine_tracker = QuarantineTracker()
         self.logged_waits: set[UnitKey] = set()
         self.wake = asyncio.Event()
+        self.has_undecided_starts = False
         # A round sent after this must be answered before orders may be sent.
         self.confirm_after_s = -inf
 
@@ -235,6 +236,8 @@
         """Keep the sessions up to date, stop runs and start others."""
         self.reconcile_sessions()
         if self.may_order():
+            if self.has_undecided_starts:
+                self.order_runs(self.unordered_runs())
             await self.open_occurrences()
             self.stop_obsolete()
             self.stop_stalled()
@@ -436,20 +439,41 @@
             if session is not None:
                 session.stop(task)
         if plan.starts:
-            accepted = await self.commit(StartRuns(starts=plan.starts)) or ()
-            log_ordered(
-                accepted,
-                {
-                    life: session.worker.worker
-                    for life, session in self.sessions.items()
-                },
-            )
-            for start in accepted:
-                self.order(start)
+            accepted = await self.commit(StartRuns(starts=plan.starts))
+            if accepted is None:
+                self.has_undecided_starts = True
+            self.order_runs(accepted or ())
         self.questions = plan.questions
         self.advice_cache.retain({question.unit for question in plan.questions})
         self.questions_changed.set()
 
+    def order_runs(self, starts: Sequence[RunStart]) -> None:
+        """Send the start orders of committed runs."""
+        log_ordered(
+            starts,
+            {
+                life: session.worker.worker
+                for life, session in self.sessions.items()
+            },
+        )
+        for start in starts:
+            self.order(start)
+
+    def unordered_runs(self) -> list[RunStart]:
+        """Return the runs on the workers that no session knows of.
+
+        Starts whose commit was reported as undecided may be applied later in
+        the same term.
+        """
+        unordered = []
+        for task, start in self.state.runs.items():
+            session = self.sessions.get(start.life)
+            if session is not None:
+                tracked = session.runs.get(task)
+                if tracked is None or tracked.start.run != start.run:
+                    unordered.append(start)
+        return unordered
+
     def log_waits(self, plan: Plan) -> None:
         """Log the reason for each unit that has begun to wait."""
         for wait in plan.waits:
--- a/tests/test_graph_authority.py
+++ b/tests/test_graph_authority.py
@@ -125,6 +125,37 @@
         cluster.check()
 
 
+class TestUndecidedStarts:
+    """Starts that are applied after their commit was reported as undecided."""
+
+    @pytest.mark.parametrize('gang', [False, True])
+    def test_ordered_later(self, *, gang: bool) -> None:
+        """They are ordered all the same, and each once.
+
+        No session knew of such runs, so that they were neither ordered nor ended
+        for the rest of the term.
+        """
+        cluster = Cluster(seed=6, faults=0.0)
+
+        async def scenario() -> None:
+            watch = asyncio.create_task(cluster.check_invariants())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            cluster.replica.faults = 1.0
+            job = graph_spec('job', step_spec(4, 1, gang=gang))
+            apply(cluster.state, SubmitGraph(graph=job))
+            cluster.leader.replan()
+            await asyncio.sleep(0.1)
+            cluster.replica.faults = 0.0
+            await asyncio.sleep(20)
+            watch.cancel()
+
+        run_virtual(scenario(), cluster.loop)
+        cluster.check()
+        starts = [run for w in cluster.connector.all for _, run, _ in w.started]
+        assert starts == [1, 1, 1, 1]
+
+
 class TestForeignFence:
     """A worker that has seen a token that no leader of this group gave."""
 
