Take the ports of tests from below those of outgoing connections

The fixture took a port that the kernel also gives to outgoing connections, and listened on it later. A trial in which one such port was taken showed the same pattern: from there on all tests of the fixture errored. That this was the cause is therefore likely, not proved.

Change: free_port chooses below the range of outgoing connections.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,8 @@
 import json
 import socket
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
+from random import randrange
 from typing import Any
 
 import msgspec
@@ -30,6 +31,10 @@
 from mangotrail.pacing import ByteCounts, Purpose
 from tests.fake_control import FakeControl
 
+FIRST_PORT = 10_000
+# Lower end of the range on Linux (net.ipv4.ip_local_port_range).
+FIRST_EPHEMERAL_PORT = 32_768
+
 BUNDLE = {
     'schema_version': 1,
     'services': [{'service': 'box-planner'}],
@@ -52,10 +57,16 @@
 
 
 def free_port() -> int:
-    """Return a TCP port that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port that nobody listens on.
+
+    It is below the ports that the kernel gives to outgoing connections: one of
+    another process could take the port before the test listens on it.
+    """
+    while True:
+        port = randrange(FIRST_PORT, FIRST_EPHEMERAL_PORT)
+        with socket.socket() as probe, suppress(OSError):
+            probe.bind(('127.0.0.1', port))
+            return port
 
 
 def make_bundle() -> Bundle:
