--- a/review/lib-2/standins.py
+++ b/review/lib-2/standins.py
@@ -921,7 +921,8 @@
     def new_job(self, steps: list[dict], seconds: float = 1.0) -> str:
         """Return the id of a new job."""
         job = f'{random.getrandbits(64):016x}'
-        body = {'spec': f'spec of {job}', 'steps': steps}
+        # A text of the length that a caller's parameters have.
+        body = {'spec': f'spec of {job} '.ljust(1000, '.'), 'steps': steps}
         self.jobs[job] = {'body': body, 'seconds': seconds}
         return job
 
