Review case 10: unbegun jobs are missing from the count of waiting ones

One of two workers with a label is busy, the other is lost for good without a sign. Four jobs that need the label are accepted a second later and placed on the lost worker. None begins, and GET PREFIX gives 0 from then on, also after the worker was given up. A job counts as begun once a start of it is committed, and only a NEVER_STARTED end takes that back.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,11 @@
-"""A lasting task is not restarted while the rack of its data is full."""
+"""Jobs that nobody has begun are missing from the count of waiting jobs."""
 
 import asyncio
+import os
+import random
+import socket
 import sys
+from contextlib import suppress
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -9,74 +13,117 @@
 
 from standins import (  # noqa: E402
     BOUNDS,
+    HOST,
+    KEY,
     ZONES,
     CaseError,
     Deployment,
     Worker,
+    call,
     run_case,
 )
 
-# A task that lasts must run again within this time of its last run, once there
-# is room for it: 6 s, and 3 s in which it may wait.
-RESTART_S = 9.0
-# A worker that is gone is given up once its lease has ended (10 s) and no
-# order to it can take effect any more; counted from the loss.
-GIVEN_UP_S = BOUNDS['max_hold_ms'] / 1000 + 15
-WATCH_S = 50.0
-ROOM = {'cpu': 1000, 'mem_mb': 1000}
+# From this long after its acknowledgement a job that hasn't begun is counted.
+COUNTED_S = BOUNDS['visible_ms'] / 1000 + 2
+WATCH_S = 25.0
+# From the loss until the jobs come.
+AFTER_S = 1.0
+# Connections that fill the queue of the lost worker.
+FILLING: list[socket.socket] = []
+LARGE = {'count': 1, 'gpu': 8, 'cpu': 1000, 'mem_mb': 1000, 'requires': 'r9'}
+SMALL = {'count': 1, 'gpu': 2, 'cpu': 1000, 'mem_mb': 1000, 'requires': 'r9'}
 
 
 def workers(deployment: Deployment) -> list[Worker]:
-    """Return two workers in rack r0 and seven in rack r1."""
+    """Return six workers in rack r0 and two in rack r9."""
     return [
         Worker(
-            deployment, number, ZONES[number % 3], 'r0' if number < 2 else 'r1'
+            deployment, number, ZONES[number % 3], 'r9' if number > 5 else 'r0'
         )
-        for number in range(9)
+        for number in range(8)
     ]
 
 
+async def pending(deployment: Deployment) -> int | None:
+    """Return the count of waiting jobs that a machine gives."""
+    reply = await call(
+        random.choice(deployment.entries).address,
+        'GET',
+        '/normal/',
+        b'',
+        {'Host': HOST, 'Api-Key': KEY, 'Mangotrail-Deadline-Ms': '3000'},
+        3.0,
+    )
+    return reply.json()['pending'] if reply.status == 200 else None
+
+
+async def lose(worker: Worker) -> None:
+    """Let a worker do and answer nothing any more.
+
+    Like a machine without power it also takes no new connections: its queue of
+    them is full, so that the opening packets are dropped.
+    """
+    worker.is_silent = True
+    for task in worker.tasks:
+        task.cancel()
+    assert worker.server is not None
+    listening = worker.server.sockets[0]
+    asyncio.get_running_loop().remove_reader(listening.fileno())
+    with socket.socket(fileno=os.dup(listening.fileno())) as same:
+        same.listen(0)
+    for _ in range(3):
+        filling = socket.socket()
+        filling.setblocking(False)
+        with suppress(BlockingIOError):
+            filling.connect((worker.ip, worker.port))
+        FILLING.append(filling)
+    await asyncio.sleep(0.01)
+
+
 async def case(deployment: Deployment, trouble: bool) -> list[str]:
-    """Fill a rack with tasks that last and lose one of its workers."""
+    """Lose a worker for good and hand in jobs that are placed on it."""
     record = deployment.record
-    # Of 72 accelerators, 16 are in rack r0.
-    near = {'gpu': 8, 'data_rack': 'r0', 'continuous': True, **ROOM}
-    first = await deployment.submit('normal', [{'count': 1, **near}])
-    second = await deployment.submit('normal', [{'count': 1, **near}])
-    wide = {'count': 30, 'gpu': 1, 'continuous': True, **ROOM}
-    await deployment.submit('normal', [wide])
-    await asyncio.sleep(4)
-    task = f'{first}.0.0.0'
-    places = deployment.running.get(task, [])
-    if not places or places[0][0].rack != 'r0':
-        raise CaseError('the first task is not in its rack')
-    lost = places[0][0]
-    lost_s = record.now_s()
-    if trouble:
-        await lost.end_life()
-    await asyncio.sleep(WATCH_S if trouble else 12)
-    runs = [at_s for at_s, _, name, _ in deployment.starts if name == task]
-    used = sum(
-        run.step['gpu']
-        for name in deployment.running
-        for _, run in deployment.running[name]
-    )
-    total = 8 * sum(worker.is_up for worker in deployment.workers)
-    shown = await deployment.phase('normal', first)
-    record.write(
-        f'check: {task} was started at {runs}; {used} of {total} accelerators'
-        f' are in use; its job is shown as {shown!r};'
-        f' {second} runs: {deployment.is_running(second)}'
+    held = await deployment.submit('low', [LARGE], seconds=200)
+    await asyncio.sleep(3)
+    places = deployment.running.get(f'{held}.0.0.0', [])
+    if not places:
+        raise CaseError('the first job has not begun')
+    lost = next(
+        worker
+        for worker in deployment.workers
+        if worker.rack == 'r9' and worker is not places[0][0]
     )
-    waited_s = record.now_s() - lost_s - GIVEN_UP_S
-    if not deployment.running.get(task) and waited_s > RESTART_S:
-        return [
-            f'LOST: {task} lasts, has capacity for it {(total - used) // 8}'
-            f' times over and has not run again for'
-            f' {record.now_s() - lost_s:.1f} s; {used} of {total} accelerators'
-            ' are in use'
+    if trouble:
+        await lose(lost)
+        record.write(f'worker {lost.id}: lost for good')
+    await asyncio.sleep(AFTER_S)
+    jobs = [
+        await deployment.submit('normal', [SMALL], seconds=60) for _ in range(4)
+    ]
+    end_s = record.now_s() + WATCH_S
+    broken: list[str] = []
+    while record.now_s() < end_s:
+        await asyncio.sleep(0.5)
+        asked_s = record.now_s()
+        count = await pending(deployment)
+        waiting = [
+            job
+            for job in jobs
+            if not deployment.started(job)
+            and asked_s - deployment.accepted_s[job] > COUNTED_S
         ]
-    return []
+        record.write(
+            f'client: GET /normal/: pending {count}; {len(waiting)} jobs'
+            f' accepted over {COUNTED_S} s before have not begun'
+        )
+        if count is not None and count < len(waiting) / 2:
+            broken.append(
+                f'MIXED: pending is {count}, {len(waiting)} jobs were accepted'
+                f' over {COUNTED_S} s before and have not begun'
+            )
+    if broken:
+        record.write(f'check: {len(broken)} counts too low')
+    return broken[:1]
 
 
 if __name__ == '__main__':
