Keep new runs off a worker that lists unwanted ones

Cause: a start order of an earlier term, carried out late by the next life of its worker, is listed there and stopped, but the worker counted as usable in the same step. The next plan filled it beside the run, above its capacity.

Change: a session is not usable from a listing with runs that are not in the replicated state until one without them.

--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -86,6 +86,9 @@
         self.is_synchronized = False
         self.is_unresponsive = False
         self.is_fenced = False
+        # Whether the worker listed runs that are not in the replicated state.
+        # They take up room until they have been stopped.
+        self.has_unexpected_runs = False
         # Whether the address refused the last connection.
         self.is_unreachable = False
         self.last_reply_s = 0.0
@@ -106,6 +109,7 @@
             and not self.is_ended
             and not self.is_ending
             and not self.is_unreachable
+            and not self.has_unexpected_runs
             and now_s - self.last_reply_s < MAX_REPLY_AGE_S
             and now_s >= self.backoff_until_s
         )
@@ -321,11 +325,13 @@
                 ends.append(listed_end.to_run_end())
         ended = {end.task for end in ends}
         listed_keys = set()
+        self.has_unexpected_runs = False
         for listed in listing.running:
             listed_keys.add((listed.task, listed.run))
             late_orders.discard(self.worker.worker, listed.task, listed.run)
             tracked = self.runs.get(listed.task)
             if tracked is None or tracked.start.run != listed.run:
+                self.has_unexpected_runs = True
                 self._stop_unexpected(listed.task, listed.run)
                 continue
             tracked.is_listed = True
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -33,7 +33,11 @@
 from mangotrail.graphs.state import GraphState
 from mangotrail.graphs.telemetry import Telemetry
 from mangotrail.graphs.units import URGENT_PRIORITY
-from mangotrail.graphs.worker_connection import RenewalFailure, StartAnswer
+from mangotrail.graphs.worker_connection import (
+    RenewalFailure,
+    StartAnswer,
+    StartOrder,
+)
 from mangotrail.ids import JobId, LifeId, ServiceId
 from tests.graph_fakes import (
     NORMAL,
@@ -578,6 +582,43 @@
             run_virtual(scenario(), cluster.loop)
         cluster.check()
 
+    def test_room_of_unwanted_run(self) -> None:
+        """A run that nobody wants takes up room until it has been stopped.
+
+        A new life may have carried out a late order of an earlier term, which
+        no leader remembers; runs beside it exceeded the capacity of the worker.
+        """
+        cluster = Cluster(seed=3, faults=0.0)
+
+        async def scenario() -> None:
+            watch = asyncio.create_task(cluster.check_invariants())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('old', step_spec()))
+            cluster.leader.replan()
+            await asyncio.sleep(3)
+            worker = next(w for w in cluster.connector.all if w.started)
+            task, run, _ = worker.started[0]
+            cluster.replace(worker, 0.3)
+            cluster.connector.at[worker.spec.address].start(
+                StartOrder(
+                    task=task,
+                    run=run,
+                    payload='',
+                    checkpoint='',
+                    deadline_ms=60_000,
+                    fencing_token=0,
+                )
+            )
+            full = step_spec(WORKERS, 8, gang=True)
+            apply(cluster.state, _submit('full', full))
+            await asyncio.sleep(6)
+            watch.cancel()
+
+        run_virtual(scenario(), cluster.loop)
+        assert not cluster.violations
+        assert cluster.state.jobs[JobId('full')].phase is JobPhase.COMPLETED
+
     def test_ends_stay_listed(self) -> None:
         """A successor receives no acknowledgements meant for its predecessor.
 
