Count a job as begun once a worker has confirmed a run

Cause: a job counted as begun with the commit of a start. Only a refused order took that back; the end of a run whose worker is given up is 'lost', so that the job was missing from the count for as long as it waited, and its phase was 'running'.

Change: an answer to the order, a listing, or a listed end makes a job begun. The leader commits it once for each job, batched, as a field of EndRuns, which members of an earlier version skip. Phase and count come from that.

Ruled out: the entry instances, and the time between loss and jobs. Weighed: only the sessions of the leader know it, without a commit; then a new leader that can't reach the worker would count a job at work as waiting.

TestWaitingJobs::test_lost_worker fails before ({(False, running)} instead of {(True, queued)}) and passes now.

--- a/mangotrail/_graphs.py
+++ b/mangotrail/_graphs.py
@@ -489,10 +489,14 @@
     FrozenStruct, frozen=True, kw_only=True, tag_field='kind', tag='end_runs'
 ):
     """
-    Record the ends of runs.
+    Record the ends of runs, and the jobs that have begun.
     """
 
     ends: Sequence[RunEnd]
+    begun: Annotated[
+        Sequence[JobId],
+        Meta(description='Jobs of which a worker has begun a task.'),
+    ] = field(default_factory=list)
 
 
 GraphCommandBody: TypeAlias = Annotated[
@@ -819,7 +823,13 @@
     phase: JobPhase
     ended_ms: Annotated[int, Meta(ge=0)] = 0
     next_occurrence: Annotated[int, Meta(ge=0)] = 0
-    started_runs: Annotated[int, Meta(ge=0)] = 0
+    started_runs: Annotated[
+        int,
+        Meta(
+            description='0 until a worker has begun a task; earlier versions count committed starts.',
+            ge=0,
+        ),
+    ] = 0
     occurrences: Sequence[OccurrenceImage] = field(default_factory=list)
 
 
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -32,6 +32,7 @@
     Question,
     next_question,
 )
+from mangotrail.graphs.begun_jobs import BegunJobs
 from mangotrail.graphs.blocked_lives import blocked_lives
 from mangotrail.graphs.capacity import WorkerCapacity
 from mangotrail.graphs.group import GraphReplica
@@ -52,7 +53,7 @@
 from mangotrail.graphs.tracked_run import RunPhase
 from mangotrail.graphs.units import UnitKey
 from mangotrail.graphs.worker_connection import StartAnswer, WorkerConnector
-from mangotrail.ids import LifeId, WorkerId
+from mangotrail.ids import JobId, LifeId, WorkerId
 
 # Shortest time between two plans; events in between are handled by one plan.
 MIN_PLAN_INTERVAL_S = 0.01
@@ -96,6 +97,7 @@
         self.wall = wall
         self.term = replica.term()
         self.late_orders = LateOrders(clock)
+        self.begun_jobs = BegunJobs(state=self.state, commit=self._commit_begun)
         self.sessions: dict[LifeId, Session] = {}
         self.session_tasks: dict[LifeId, asyncio.Task[None]] = {}
         self.claims: dict[UnitKey, Claim] = {}
@@ -153,6 +155,15 @@
         current = self.state.runs.get(task)
         return current is not None and current.run == run
 
+    def record_begun(self, task: TaskKey) -> None:
+        """Record that a worker has confirmed a run of a task."""
+        self.begun_jobs.add(task.job)
+
+    async def _commit_begun(self, jobs: Sequence[JobId]) -> bool:
+        """Commit that jobs have begun; False if that failed."""
+        command = EndRuns(ends=(), begun=jobs)
+        return await self.commit(command) is not None
+
     def record_outcome(self, session: Session, end: RunEnd) -> None:
         """Record the end of a run for the quarantine of its worker."""
         self.telemetry.ends.increment(end.end.value)
@@ -216,7 +227,10 @@
     async def run(self) -> None:
         """Plan and send orders until cancelled."""
         logger.info('Leading in term {}', self.term)
-        asking = asyncio.create_task(self._ask_adviser())
+        helpers = [
+            asyncio.create_task(self._ask_adviser()),
+            asyncio.create_task(self.begun_jobs.run()),
+        ]
         try:
             while True:
                 try:
@@ -226,7 +240,7 @@
                     self.telemetry.step_faults.increment()
                 await self._pause()
         finally:
-            tasks = [asking, *self.session_tasks.values()]
+            tasks = [*helpers, *self.session_tasks.values()]
             for task in tasks:
                 task.cancel()
             await asyncio.gather(*tasks, return_exceptions=True)
--- a/mangotrail/graphs/records.py
+++ b/mangotrail/graphs/records.py
@@ -124,7 +124,8 @@
         self.ended_ms = 0
         self.phase = JobPhase.QUEUED
         self.next_occurrence = 0
-        self.started_runs = 0
+        # Whether a worker has begun a task of the job.
+        self.has_begun = False
         self.occurrences: dict[int, Sequence[StepState]] = {}
         if not graph.occurrences:
             self.open_occurrence(0)
@@ -140,7 +141,7 @@
         job.ended_ms = image.ended_ms
         job.phase = image.phase
         job.next_occurrence = image.next_occurrence
-        job.started_runs = image.started_runs
+        job.has_begun = image.started_runs > 0
         job.occurrences = {
             occurrence.number: [
                 StepState(spec, step)
@@ -169,11 +170,12 @@
 
     @property
     def is_pending(self) -> bool:
-        """Whether the job is waiting and no task has started."""
+        """Whether the job is waiting and no task has started.
+
+        A start that is committed does not count: its worker may be lost.
+        """
         return (
-            self.is_live
-            and not self.started_runs
-            and not self.graph.occurrences
+            self.is_live and not self.has_begun and not self.graph.occurrences
         )
 
     def due_ms(self, occurrence: int) -> int:
@@ -228,6 +230,12 @@
         if self.is_live and steps_done and self.next_occurrence >= total:
             self.end(JobPhase.COMPLETED, now_ms)
 
+    def begin(self) -> None:
+        """Record that a worker has begun a task."""
+        self.has_begun = True
+        if self.phase is JobPhase.QUEUED:
+            self.phase = JobPhase.RUNNING
+
     def end(self, phase: JobPhase, now_ms: int) -> None:
         """End the job; no more tasks start."""
         self.phase = phase
@@ -242,7 +250,7 @@
             ended_ms=self.ended_ms,
             phase=self.phase,
             next_occurrence=self.next_occurrence,
-            started_runs=self.started_runs,
+            started_runs=int(self.has_begun),
             occurrences=tuple(
                 OccurrenceImage(
                     number=number,
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -334,6 +334,8 @@
                 self.has_unexpected_runs = True
                 self._stop_unexpected(listed.task, listed.run)
                 continue
+            if not tracked.is_listed:
+                self.owner.record_begun(listed.task)
             tracked.is_listed = True
             tracked.order_expiry_s = -inf
             tracked.checkpoint = listed.checkpoint or tracked.checkpoint
@@ -403,6 +405,7 @@
         if answer is not StartAnswer.UNANSWERED:
             tracked.order_expiry_s = -inf
         if answer is StartAnswer.STARTED:
+            self.owner.record_begun(order.task)
             tracked.since_s = now_s
             tracked.started_ms = self.owner.wall_ms()
             if tracked.phase is RunPhase.ORDERED:
--- a/mangotrail/graphs/session_owner.py
+++ b/mangotrail/graphs/session_owner.py
@@ -48,6 +48,10 @@
     def is_current(self, task: TaskKey, run: int) -> bool:
         """Whether the committed state counts a run as present on any life."""
 
+    @abstractmethod
+    def record_begun(self, task: TaskKey) -> None:
+        """Record that a worker has confirmed a run of a task."""
+
     @abstractmethod
     async def remove_life(self, session: 'Session') -> None:
         """Commit that the life of the worker has ended."""
--- a/mangotrail/graphs/state.py
+++ b/mangotrail/graphs/state.py
@@ -41,6 +41,8 @@
 RETENTION_MS = 600_000
 # Longer than a heartbeat can be delayed by a partition.
 DEPARTED_RETENTION_MS = 3_600_000
+# Ends that no worker has listed, so that they do not show that the run began.
+INFERRED_ENDS = frozenset((EndKind.NEVER_STARTED, EndKind.LOST))
 DONE = Applied(verdict=Verdict.OK)
 
 __all__ = ('GraphState', 'JobState', 'StepState', 'WorkerState')
@@ -243,11 +245,15 @@
             steps = job.occurrences[start.task.occurrence]
             steps[start.task.step].last_runs[start.task.index] = start.run
             self.runs[start.task] = start
-            job.started_runs += 1
-            job.phase = JobPhase.RUNNING
 
     def end_runs(self, body: EndRuns, now_ms: int) -> Applied:
-        """Record ends of runs; ends of outdated runs are ignored."""
+        """Record ends of runs and jobs that have begun.
+
+        Ends of outdated runs are ignored.
+        """
+        for name in body.begun:
+            if name in self.jobs:
+                self.jobs[name].begin()
         for end in body.ends:
             current = self.runs.get(end.task)
             if current is not None and current.run == end.run:
@@ -262,10 +268,8 @@
         if job is None or step is None:
             return
         step.save_checkpoint(end.task.index, end.checkpoint)
-        if end.end is EndKind.NEVER_STARTED:
-            job.started_runs -= 1
-            if not job.started_runs and job.phase is JobPhase.RUNNING:
-                job.phase = JobPhase.QUEUED
+        if end.end not in INFERRED_ENDS:
+            job.begin()
         if step.spec.lasting:
             return
         if end.end is EndKind.DONE:
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -329,6 +329,59 @@
         assert len(starts) == 2
 
 
+class TestWaitingJobs:
+    """Jobs that no worker has begun."""
+
+    def test_lost_worker(self) -> None:
+        """A job waits for as long as its start only went to a lost worker.
+
+        Callers were told that nothing waits, while accepted jobs stood still.
+        """
+        cluster = Cluster(seed=3, faults=0.0)
+        states = []
+
+        async def scenario() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            cluster.connector.cut.update(cluster.connector.at)
+            apply(cluster.state, _submit('job', step_spec()))
+            cluster.leader.replan()
+            for _ in range(60):
+                await asyncio.sleep(0.5)
+                job = cluster.state.jobs[JobId('job')]
+                states.append((job.is_pending, job.phase))
+            cluster.connector.cut.clear()
+            await asyncio.sleep(3)
+
+        run_virtual(scenario(), cluster.loop)
+        assert set(states) == {(True, JobPhase.QUEUED)}
+        job = cluster.state.jobs[JobId('job')]
+        assert job.phase is JobPhase.COMPLETED
+
+    @pytest.mark.parametrize('how', ['answered', 'listed'])
+    def test_begun(self, how: str) -> None:
+        """A job that has begun is shown so, also by the next leader."""
+        cluster = Cluster(seed=3, faults=float(how == 'listed'))
+        for worker in cluster.connector.all:
+            worker.duration_s = 60.0
+
+        async def scenario() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('job', step_spec()))
+            cluster.leader.replan()
+            await asyncio.sleep(14)
+            if how == 'listed':
+                cluster.connector.faults = 0.0
+                cluster.elect()
+                await asyncio.sleep(2)
+
+        run_virtual(scenario(), cluster.loop)
+        job = cluster.state.jobs[JobId('job')]
+        assert not job.is_pending
+        assert job.phase is JobPhase.RUNNING
+
+
 class TestOddEntries:
     """Heartbeats of other writers, and heartbeats that arrive late."""
 
