Let orders on zones lapse with their caller

Cause: an order on a zone has neither a version nor a time. The withdrawal had waited in the socket of the frozen instance, beside the end of its connection; the operator had sent it elsewhere after a second and had then sent the newer evacuation.

Change: an order takes effect only while its caller can be waiting. A monitor of the event loop bounds when a request arrived; a ticket of the leader bounds the time from there on, on one clock; an order whose connection is closed is dropped. Notices of leaving workers carry the same ticket.

Ruled out: the log (a late commit keeps its place before newer ones). Weighed: revisions of zones, which an instance that wakes may read too late, and clocks of instances, which step. Open: an order that a partition holds up on a connection that stays open.

--- a/mangotrail/_graphs.py
+++ b/mangotrail/_graphs.py
@@ -645,6 +645,39 @@
     """
 
 
+class OrderTicket(FrozenStruct, frozen=True, kw_only=True):
+    """
+    Bound on the age of an order, on the clock of the leader that issued it.
+    """
+
+    term: Annotated[int, Meta(description='Term of the leader.', ge=0)]
+    issued_ms: Annotated[
+        int,
+        Meta(
+            description="Reading of the leader's monotonic clock in milliseconds."
+        ),
+    ]
+    age_ms: Annotated[
+        int,
+        Meta(
+            description='Longest time for which the order had waited before the ticket was requested.',
+            ge=0,
+        ),
+    ] = 0
+
+
+class RequestTicket(
+    FrozenStruct,
+    frozen=True,
+    kw_only=True,
+    tag_field='kind',
+    tag='request_ticket',
+):
+    """
+    Request a ticket for an order.
+    """
+
+
 class ChangeZone(
     FrozenStruct, frozen=True, kw_only=True, tag_field='kind', tag='change_zone'
 ):
@@ -654,6 +687,7 @@
 
     zone: ZoneId
     open: bool
+    ticket: OrderTicket | None = None
 
 
 class Heartbeat(
@@ -690,6 +724,7 @@
     """
 
     worker: WorkerId
+    ticket: OrderTicket | None = None
 
 
 CallBody: TypeAlias = Annotated[
@@ -700,6 +735,7 @@
     | Watch
     | PutConfiguration
     | ReadConfiguration
+    | RequestTicket
     | ChangeZone
     | Heartbeat
     | Leave,
@@ -748,6 +784,7 @@
     address: Annotated[
         str, Meta(description='Control address of the leader.')
     ] = ''
+    ticket: OrderTicket | None = None
 
 
 class PeerEnvelope(FrozenStruct, frozen=True, kw_only=True):
--- a/mangotrail/graphs/control.py
+++ b/mangotrail/graphs/control.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
+import msgspec
 from loguru import logger
 
 from mangotrail._graph_settings import GraphSettings
@@ -27,6 +28,7 @@
     Leave,
     PutConfiguration,
     ReadConfiguration,
+    RequestTicket,
     SetConfiguration,
     SetZone,
     Submit,
@@ -39,10 +41,12 @@
 from mangotrail.graphs.advice import Adviser
 from mangotrail.graphs.channels import CallServer, Channels
 from mangotrail.graphs.group import GraphReplica, open_group
+from mangotrail.graphs.lapsing_orders import CLOSE_DELAY_S, OrderTickets
 from mangotrail.graphs.leader import GraphLeader, WallClock
 from mangotrail.graphs.telemetry import Telemetry
 from mangotrail.graphs.worker_connection import WorkerConnector
 from mangotrail.ids import InstanceId
+from mangotrail.lean_http import RequestOrigin
 
 # Time-out of a call that is forwarded to the leader.
 FORWARD_TIMEOUT_S = 3.0
@@ -73,6 +77,7 @@
         self.connector = connector
         self.clock = clock
         self.wall = WallClock(clock)
+        self.tickets = OrderTickets(clock)
         self.telemetry = Telemetry()
         self.channels = Channels(own=settings.address, clock=clock)
         self.replica: GraphReplica = open_group(
@@ -97,6 +102,7 @@
             Watch: self.watch,
             PutConfiguration: self.put_configuration,
             ReadConfiguration: self.read_configuration,
+            RequestTicket: self.issue_ticket,
             ChangeZone: self.change_zone,
             Heartbeat: self.heartbeat,
             Leave: self.leave,
@@ -196,6 +202,24 @@
             return self.reply(Verdict.UNDECIDED, reason='the leader is silent')
         return forwarded_reply
 
+    async def take_order(
+        self, body: ChangeZone | Leave, origin: RequestOrigin
+    ) -> CallReply:
+        """Carry out an order, unless its caller may have stopped waiting.
+
+        :return: ``UNDECIDED`` for an order that has lapsed; it has no effect.
+        """
+        requested_s = self.clock.monotonic_s()
+        reply = await self.handle(RequestTicket())
+        if reply.verdict is not Verdict.OK or reply.ticket is None:
+            return reply
+        await asyncio.sleep(CLOSE_DELAY_S)
+        if origin.is_abandoned:
+            logger.warning('Dropped {}: its caller is gone', body)
+            return self.reply(Verdict.UNDECIDED, reason='the caller is gone')
+        ticket = self.tickets.with_age(reply.ticket, origin, requested_s)
+        return await self.handle(msgspec.structs.replace(body, ticket=ticket))
+
     def reply(
         self, verdict: Verdict, *, reason: str = '', **fields: Any
     ) -> CallReply:
@@ -322,8 +346,22 @@
             return self.reply(Verdict.NOT_LEADER, reason='not sure')
         return self.reply(Verdict.OK, configuration=configuration)
 
+    async def issue_ticket(self, body: RequestTicket) -> CallReply:
+        """Issue a ticket for an order that the caller is about to send."""
+        ticket = self.tickets.issue(self.replica.term())
+        return self.reply(Verdict.OK, ticket=ticket)
+
+    def _is_lapsed(self, body: ChangeZone | Leave) -> bool:
+        """Whether the caller of an order may have stopped waiting for it."""
+        if self.tickets.is_valid(body.ticket, self.replica.term()):
+            return False
+        logger.warning('Dropped {}: it is too old', body)
+        return True
+
     async def change_zone(self, body: ChangeZone) -> CallReply:
         """Close or reopen an availability zone for starts."""
+        if self._is_lapsed(body):
+            return self.reply(Verdict.UNDECIDED, reason='the order is too old')
         reply = await self.commit(SetZone(zone=body.zone, open=body.open))
         logger.info(
             'Zone {} open={} {}', body.zone, body.open, reply.verdict.value
@@ -341,6 +379,8 @@
 
     async def leave(self, body: Leave) -> CallReply:
         """Handle the end of a worker."""
+        if self._is_lapsed(body):
+            return self.reply(Verdict.UNDECIDED, reason='the notice is too old')
         leader = self.leader
         if leader is None or not await leader.on_leave(body.worker):
             return self.reply(Verdict.UNDECIDED)
--- a/mangotrail/lean_http.py
+++ b/mangotrail/lean_http.py
@@ -10,11 +10,14 @@
 from collections.abc import Awaitable, Callable, Mapping
 from enum import Enum
 from http import HTTPStatus
+from math import inf
 
 import httptools
 from loguru import logger
+from msgspec import field
 
 from mangotrail._struct import FrozenStruct
+from mangotrail.loop_monitor import LoopMonitor
 
 CONNECT_TIMEOUT_S = 0.5
 # A connection idle for longer may have been lost without notice.
@@ -22,6 +25,19 @@
 JSON_TYPE = 'application/json'
 
 
+class RequestOrigin:
+    """What is known of the caller of a request.
+
+    :param arrived_s: reading of the process's clock before which the request
+        can't have arrived; -inf if it isn't known.
+    """
+
+    def __init__(self, arrived_s: float = -inf) -> None:
+        self.arrived_s = arrived_s
+        # Whether the caller has closed the connection.
+        self.is_abandoned = False
+
+
 class HttpRequest(FrozenStruct, frozen=True, kw_only=True):
     """An HTTP request.
 
@@ -32,6 +48,7 @@
     path: str
     headers: Mapping[str, str]
     body: bytes
+    origin: RequestOrigin = field(default_factory=RequestOrigin)
 
 
 class HttpResponse(FrozenStruct, frozen=True, kw_only=True):
@@ -79,11 +96,18 @@
 
     :param handler: handles requests, one at a time on each connection.
     :param limits: limits for new requests; may be replaced while serving.
+    :param monitor: tells how old requests may be; None if nobody asks.
     """
 
-    def __init__(self, handler: Handler, limits: ServerLimits) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits,
+        monitor: LoopMonitor | None = None,
+    ) -> None:
         self.handler = handler
         self.limits = limits
+        self.monitor = monitor
         self.connections: set[ServerConnection] = set()
         self.server: asyncio.Server | None = None
         self.is_draining = False
@@ -131,6 +155,9 @@
         self.requests: deque[HttpRequest] = deque()
         self.task: asyncio.Task[None] | None = None
         self.timer: asyncio.TimerHandle | None = None
+        # Origins of the requests that have no response yet.
+        self.origins: list[RequestOrigin] = []
+        self.origin = RequestOrigin()
         self.reset_request()
 
     def reset_request(self) -> None:
@@ -161,6 +188,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection and discard queued requests."""
+        for origin in self.origins:
+            origin.is_abandoned = True
         self.server.connections.discard(self)
         self.cancel_timer()
         self.requests.clear()
@@ -181,6 +210,16 @@
 
     # Callbacks of the parser.
 
+    def on_message_begin(self) -> None:
+        """Note when the request can have arrived at the earliest."""
+        monitor = self.server.monitor
+        self.origin = (
+            RequestOrigin(monitor.earliest_arrival_s())
+            if monitor
+            else RequestOrigin()
+        )
+        self.origins.append(self.origin)
+
     def on_url(self, url: bytes) -> None:
         """Append to the request target."""
         self.url += url
@@ -205,6 +244,7 @@
             path=self.url.decode('latin-1'),
             headers=self.headers,
             body=bytes(self.body),
+            origin=self.origin,
         )
         keep_alive = self.parser.should_keep_alive()
         self.reset_request()
@@ -222,6 +262,7 @@
             while self.requests and self.transport is not None:
                 request = self.requests.popleft()
                 response = await self.call_handler(request)
+                self.origins.remove(request.origin)
                 if response is None or self.transport.is_closing():
                     self.transport.abort()
                     return
