End the runs of a leaving worker once it no longer answers

Cause: the notice names no life; the leader committed the removal of the newest one, which ends its runs without asking the worker.

Change: a life without runs is removed at once, as before. Otherwise the first renewal that is sent after the notice and fails ends the life; a worker that answers a renewal sent 1 s later has not left.

Ruled out: heartbeats, which carry the birth of their life. Weighed: trusting notices only after the notice period (workers may leave sooner, and the next life may have drained as long), and committing that a notice came (it would have to be taken back).

Doubt: runs of a worker that refuses connections start elsewhere within 0.5 s of the notice, those of one that has become silent within 4 s instead of at once (both tested); the lease of 11.7 s still bounds the rest.

Evidence: TestLeave::test_late_notice fails before (the task runs on w0 and w1) and passes now.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -580,11 +580,20 @@
         return False
 
     async def on_leave(self, worker: WorkerId) -> bool:
-        """Handle the end of a draining worker; False if not committed."""
+        """Handle the notice that a worker leaves; False if not committed.
+
+        The notice names no life and may come late from an earlier one, so runs
+        are given up only once the worker no longer answers.
+        """
         life = self.state.life_of(worker)
         if life is None or not self.state.workers[life].draining:
             return True
-        return await self.commit(RemoveWorker(life=life)) is not None
+        if all(run.life != life for run in self.state.runs.values()):
+            return await self.commit(RemoveWorker(life=life)) is not None
+        session = self.sessions.get(life)
+        if session is not None:
+            session.report_leave()
+        return True
 
 
 class WallClock:
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -46,6 +46,10 @@
 MAX_PARALLEL_ORDERS = 4
 # Time without new runs after a worker has refused an order as unhealthy.
 UNHEALTHY_BACKOFF_S = 2.0
+# A worker that answers a renewal sent this long after the notice that it leaves
+# has not left: the notice came from an earlier life. Workers end as soon as the
+# notice is acknowledged.
+LEAVE_CONFIRMATION_S = 1.0
 # The same after any other refusal. Without it, the next plan would choose the
 # worker again at once.
 REFUSAL_BACKOFF_S = 0.5
@@ -95,6 +99,8 @@
         self.backoff_until_s = 0.0
         self.acknowledged = 0
         self.is_ended = False
+        # When the notice came that the worker leaves; it names no life.
+        self.leave_reported_s = inf
         # A successor of this life has answered, and the runs that may have
         # reached it are being cleaned up.
         self.is_ending = False
@@ -169,6 +175,13 @@
             self._send_stop(tracked.start.task, tracked.start.run, tracked)
         )
 
+    def report_leave(self) -> None:
+        """Note that the worker, or an earlier life of it, has announced its end.
+
+        Its runs are over once it no longer answers.
+        """
+        self.leave_reported_s = self.owner.clock.monotonic_s()
+
     def forget(self, task: TaskKey, run: int) -> None:
         """Stop tracking a run whose end is committed."""
         tracked = self.runs.get(task)
@@ -218,7 +231,10 @@
         )
         received_s = self.owner.clock.monotonic_s()
         if isinstance(listing, RenewalFailure):
-            await self._handle_renewal_failure(listing, received_s)
+            if now_s > self.leave_reported_s and self.owner.may_order():
+                await self._remove_life()
+            else:
+                await self._handle_renewal_failure(listing, received_s)
         elif listing.is_fenced:
             self._handle_fence()
             await self._handle_renewal_failure(
@@ -232,6 +248,12 @@
             self.is_unreachable = False
             self.clock.record_reading(listing.clock_ms, now_s, received_s)
             self.last_reply_s = received_s
+            if now_s - self.leave_reported_s > LEAVE_CONFIRMATION_S:
+                logger.warning(
+                    'Worker {} works on after the notice that it leaves',
+                    self.worker.worker,
+                )
+                self.leave_reported_s = inf
             await self._reconcile(listing, now_s)
 
     async def _handle_renewal_failure(
@@ -303,8 +325,12 @@
             )
             await cleanup.run()
         if self.owner.may_order():
-            self.is_ended = True
-            await self.owner.remove_life(self)
+            await self._remove_life()
+
+    async def _remove_life(self) -> None:
+        """Remove the life of the worker; its runs are lost."""
+        self.is_ended = True
+        await self.owner.remove_life(self)
 
     async def _reconcile(self, listing: Listing, sent_s: float) -> None:
         """Reconcile the runs that the worker lists with the expected ones."""
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -382,6 +382,73 @@
         assert job.phase is JobPhase.RUNNING
 
 
+class TestLeave:
+    """Notices that a worker leaves, which name no life of it."""
+
+    def play(self, how: str) -> tuple[Cluster, list[float]]:
+        """Send a notice for a draining worker that is at work.
+
+        :return: seconds from the notice to each later start of its task.
+        """
+        cluster = Cluster(seed=3, faults=0.0)
+        for worker in cluster.connector.all:
+            worker.duration_s = 60.0
+        starts = []
+
+        async def scenario() -> None:
+            expiry = asyncio.create_task(cluster.connector.expire_leases())
+            watch = asyncio.create_task(cluster.check_invariants())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('long', step_spec(1, 8)))
+            cluster.leader.replan()
+            await asyncio.sleep(0.5)
+            busy = next(w for w in cluster.connector.all if w.runs)
+            notice = Heartbeat(worker=busy.spec, draining=True, sequence=9)
+            await cluster.leader.on_heartbeat(notice)
+            await asyncio.sleep(3)
+            left_s = cluster.clock.monotonic_s()
+            assert await cluster.leader.on_leave(busy.spec.worker)
+            if how == 'ended':
+                busy.crash()
+            elif how == 'silent':
+                cluster.connector.cut.add(busy.spec.address)
+                busy.crash()
+            await asyncio.sleep(25)
+            if how == 'late':
+                # Long after the late notice a cut is just a cut.
+                cluster.connector.cut.add(busy.spec.address)
+                await asyncio.sleep(4)
+            starts.extend(
+                begun_s - left_s
+                for worker in cluster.connector.all
+                for _, _, begun_s in worker.started
+                if begun_s > left_s
+            )
+            expiry.cancel()
+            watch.cancel()
+
+        run_virtual(scenario(), cluster.loop)
+        return cluster, starts
+
+    def test_late_notice(self) -> None:
+        """A late notice of an earlier life ends no run of the present one.
+
+        The task used to start elsewhere at once, beside its run.
+        """
+        cluster, starts = self.play('late')
+        assert not cluster.violations
+        assert not starts
+
+    @pytest.mark.parametrize(('how', 'most_s'), [('ended', 0.5), ('silent', 4)])
+    def test_left(self, how: str, most_s: float) -> None:
+        """The task of a worker that has left does not wait for its lease."""
+        cluster, starts = self.play(how)
+        assert not cluster.violations
+        assert len(starts) == 1
+        assert starts[0] < most_s
+
+
 class TestOddEntries:
     """Heartbeats of other writers, and heartbeats that arrive late."""
 
