Let the doubt about silent workers outlast their leader

Cause: runs on a silent worker may start elsewhere once its leases are surely over. A new leader did not know when its predecessor had last extended one and waited for the longest lease again, 11.7 s from its election, also where the predecessor was lost as it committed the ends after having waited for all of it.

Change: after 1 s of silence the leader commits that it grants no lease any more, and for how long those before may go on; members count from when they apply it. A worker that answers again gets a lease after the opposite is committed. The age of an adopted run is never negative, which lengthened the doubt by the difference of two clocks. Waits are logged every 3 s, with the workers that take no runs by reason.

Ruled out: acknowledged but uncommitted ends; late commits of a lost leader; claims. Not proved: that the users met this; their record lacks the log of the next leader.

--- a/mangotrail/_graphs.py
+++ b/mangotrail/_graphs.py
@@ -460,6 +460,41 @@
     life: LifeId
 
 
+class SuspendLease(
+    FrozenStruct,
+    frozen=True,
+    kw_only=True,
+    tag_field='kind',
+    tag='suspend_lease',
+):
+    """
+    Grant no lease to a silent worker until ResumeLease is committed.
+    """
+
+    life: LifeId
+    left_ms: Annotated[
+        int,
+        Meta(
+            description='Longest time for which leases granted before may go on.',
+            ge=0,
+        ),
+    ]
+
+
+class ResumeLease(
+    FrozenStruct,
+    frozen=True,
+    kw_only=True,
+    tag_field='kind',
+    tag='resume_lease',
+):
+    """
+    Allow leases for a worker that answers again.
+    """
+
+    life: LifeId
+
+
 class OpenOccurrence(
     FrozenStruct,
     frozen=True,
@@ -507,6 +542,8 @@
     | RegisterWorker
     | DrainWorker
     | RemoveWorker
+    | SuspendLease
+    | ResumeLease
     | OpenOccurrence
     | StartRuns
     | EndRuns,
@@ -820,6 +857,15 @@
     ] = 0
 
 
+LeaseLeftMs: TypeAlias = Annotated[
+    int,
+    Meta(
+        description='As in SuspendLease; null while leases may be granted.',
+        ge=0,
+    ),
+]
+
+
 class WorkerImage(FrozenStruct, frozen=True, kw_only=True):
     """
     A worker in a snapshot.
@@ -827,6 +873,15 @@
 
     worker: WorkerSpec
     draining: bool = False
+    lease_left_ms: (
+        Annotated[
+            LeaseLeftMs,
+            Meta(
+                description='As in SuspendLease; null while leases may be granted.'
+            ),
+        ]
+        | None
+    ) = None
 
 
 class DepartedLife(FrozenStruct, frozen=True, kw_only=True):
--- a/mangotrail/graphs/group.py
+++ b/mangotrail/graphs/group.py
@@ -19,6 +19,7 @@
 from mangotrail.agreement import Agreement
 from mangotrail.clock import Clock
 from mangotrail.graphs.state import GraphState
+from mangotrail.graphs.suspended_leases import SuspendedLeases
 from mangotrail.ids import InstanceId, MemberId
 from mangotrail.journal import (
     FileJournal,
@@ -191,6 +192,8 @@
         self.transmit_to = transmit_to
         self.seeds = set(settings.seeds)
         self.on_applied: OnApplied = _ignore
+        self.leases = SuspendedLeases(clock)
+        self.leases.restore(state.workers)
         self.command_decoder = msgspec.msgpack.Decoder(GraphCommand)
 
     async def propose(self, body: GraphCommandBody, now_ms: int) -> Any:
@@ -210,6 +213,7 @@
             return None
         command = self.command_decoder.decode(entry.payload)
         result = self.state.apply(command)
+        self.leases.observe(command.body)
         self.on_applied(command.body, result)
         return result
 
@@ -220,6 +224,7 @@
     def restore_state(self, body: bytes) -> None:
         """Replace the state with a decoded snapshot."""
         self.state.restore(body)
+        self.leases.restore(self.state.workers)
 
     def receivers(self) -> Iterable[InstanceId]:
         """Return the addresses of all other seeds and members."""
--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -1,8 +1,9 @@
 """The leader of a term: worker sessions, planning and orders."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Sequence
-from math import inf
+from math import ceil, inf
 from typing import Any
 
 from loguru import logger
@@ -17,9 +18,11 @@
     OpenOccurrence,
     RegisterWorker,
     RemoveWorker,
+    ResumeLease,
     RunEnd,
     RunStart,
     StartRuns,
+    SuspendLease,
     TaskKey,
     WorkerSpec,
 )
@@ -60,6 +63,8 @@
 # Longest time between two plans. Some changes come without an event:
 # occurrences become due and waiting times expire.
 MAX_PLAN_INTERVAL_S = 0.2
+# Interval between two log lines about a unit that waits on.
+WAIT_LOG_PERIOD_S = 3.0
 # Clocks of workers and instances may differ by minutes after steps.
 MAX_BORN_AHEAD_MS = 3_600_000
 
@@ -102,7 +107,10 @@
         self.session_tasks: dict[LifeId, asyncio.Task[None]] = {}
         self.claims: dict[UnitKey, Claim] = {}
         self.quarantine_tracker = QuarantineTracker()
-        self.logged_waits: set[UnitKey] = set()
+        # When the last line about each waiting unit was logged.
+        self.logged_waits: dict[UnitKey, float] = {}
+        # Workers that take no runs, by reason.
+        self.closed_workers: Counter[str] = Counter()
         self.wake = asyncio.Event()
         self.has_undecided_starts = False
         # A round sent after this must be answered before orders may be sent.
@@ -155,6 +163,24 @@
         current = self.state.runs.get(task)
         return current is not None and current.run == run
 
+    async def suspend_leases(self, life: LifeId, left_s: float) -> None:
+        """Commit that no lease is granted to a silent worker."""
+        left_ms = max(0, ceil(left_s * 1000))
+        await self.commit(SuspendLease(life=life, left_ms=left_ms))
+
+    async def resume_leases(self, life: LifeId) -> bool:
+        """Commit that leases may be granted again; False if that failed."""
+        return await self.commit(ResumeLease(life=life)) is not None
+
+    def is_suspended(self, life: LifeId) -> bool:
+        """Whether no lease may be granted to a worker."""
+        worker = self.state.workers.get(life)
+        return worker is not None and worker.is_suspended
+
+    def are_leases_over(self, life: LifeId) -> bool:
+        """Whether the suspended leases of a worker have expired."""
+        return self.replica.leases.are_over(life)
+
     def record_begun(self, task: TaskKey) -> None:
         """Record that a worker has confirmed a run of a task."""
         self.begun_jobs.add(task.job)
@@ -395,16 +421,26 @@
         )
         blocked = blocked_lives(self.state)
         capacities = {}
+        self.closed_workers.clear()
         for life, worker in self.state.workers.items():
             session = self.sessions.get(life)
+            reasons = {
+                'draining': worker.draining,
+                'zone': worker.spec.zone in self.state.closed_zones,
+                'quarantined': life in quarantined,
+                'other_life': life in blocked,
+                'no_session': session is None,
+            }
+            closed = next(
+                (name for name, holds in reasons.items() if holds), ''
+            )
+            if not closed and session is not None:
+                closed = session.closed_reason(now_s)
+            if closed:
+                self.closed_workers[closed] += 1
             capacities[life] = WorkerCapacity(
                 worker.spec,
-                is_open=session is not None
-                and session.is_usable(now_s)
-                and life not in quarantined
-                and life not in blocked
-                and not worker.draining
-                and worker.spec.zone not in self.state.closed_zones,
+                is_open=not closed,
                 has_recent_failure=self.quarantine_tracker.has_recent_failure(
                     life, now_s
                 ),
@@ -489,13 +525,17 @@
         return unordered
 
     def log_waits(self, plan: Plan) -> None:
-        """Log the reason for each unit that has begun to wait."""
+        """Log why each unit waits: when it begins to, and regularly then."""
+        now_s = self.clock.monotonic_s()
+        logged = {}
         for wait in plan.waits:
-            if wait.unit not in self.logged_waits:
+            logged_s = self.logged_waits.get(wait.unit, -inf)
+            if now_s - logged_s >= WAIT_LOG_PERIOD_S:
+                logged_s = now_s
                 logger.info(
                     'Tasks wait job={} task={}.{} count={} entitled={}'
                     ' claimed={} reserved={} in_time={} open_workers={}'
-                    ' free_accelerators={}',
+                    ' free_accelerators={} closed_workers={}',
                     *wait.unit,
                     wait.tasks,
                     wait.entitled,
@@ -504,8 +544,10 @@
                     wait.in_time,
                     wait.open_workers,
                     wait.free_accelerators,
+                    dict(self.closed_workers),
                 )
-        self.logged_waits = {wait.unit for wait in plan.waits}
+            logged[wait.unit] = logged_s
+        self.logged_waits = logged
 
     def order(self, start: RunStart) -> None:
         """Send the start order of a committed run to its session."""
--- a/mangotrail/graphs/records.py
+++ b/mangotrail/graphs/records.py
@@ -262,14 +262,34 @@
 
 
 class WorkerState:
-    """A registered life of a worker."""
+    """A registered life of a worker.
 
-    __slots__ = ('draining', 'spec')
+    :param lease_left_ms: longest time for which its leases may have gone on
+        when they were suspended; None while they may be granted.
+    """
+
+    __slots__ = ('draining', 'lease_left_ms', 'spec')
 
-    def __init__(self, spec: WorkerSpec, *, draining: bool = False) -> None:
+    def __init__(
+        self,
+        spec: WorkerSpec,
+        *,
+        draining: bool = False,
+        lease_left_ms: int | None = None,
+    ) -> None:
         self.spec = spec
         self.draining = draining
+        self.lease_left_ms = lease_left_ms
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether no lease may be granted."""
+        return self.lease_left_ms is not None
 
     def image(self) -> WorkerImage:
         """Return the worker for a snapshot."""
-        return WorkerImage(worker=self.spec, draining=self.draining)
+        return WorkerImage(
+            worker=self.spec,
+            draining=self.draining,
+            lease_left_ms=self.lease_left_ms,
+        )
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -44,6 +44,9 @@
 # Concurrent orders to one worker. The limit keeps a wide step from opening many
 # connections.
 MAX_PARALLEL_ORDERS = 4
+# The leases of a worker that is silent for longer are suspended, so that the
+# next leader knows when they end. It covers a lost answer and its retry.
+SUSPENSION_DELAY_S = 1.0
 # Time without new runs after a worker has refused an order as unhealthy.
 UNHEALTHY_BACKOFF_S = 2.0
 # A worker that answers a renewal sent this long after the notice that it leaves
@@ -90,6 +93,11 @@
         self.is_synchronized = False
         self.is_unresponsive = False
         self.is_fenced = False
+        # When the first renewal without an answer since the last answer failed.
+        self.silent_since_s = inf
+        # Whether it has been proposed to suspend the leases, which may be
+        # committed later.
+        self.may_be_suspended = False
         # Whether the worker listed runs that are not in the replicated state.
         # They take up room until they have been stopped.
         self.has_unexpected_runs = False
@@ -110,14 +118,26 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Whether runs may be started on the worker."""
-        return (
-            self.is_synchronized
-            and not self.is_ended
-            and not self.is_ending
-            and not self.is_unreachable
-            and not self.has_unexpected_runs
-            and now_s - self.last_reply_s < MAX_REPLY_AGE_S
-            and now_s >= self.backoff_until_s
+        return not self.closed_reason(now_s)
+
+    def closed_reason(self, now_s: float) -> str:
+        """Return why no runs may be started on the worker, '' if they may."""
+        reasons = {
+            'ended': self.is_ended or self.is_ending,
+            'unsynchronized': not self.is_synchronized,
+            'unreachable': self.is_unreachable,
+            'suspended': self.is_suspended,
+            'unwanted_runs': self.has_unexpected_runs,
+            'silent': now_s - self.last_reply_s >= MAX_REPLY_AGE_S,
+            'backoff': now_s < self.backoff_until_s,
+        }
+        return next((name for name, holds in reasons.items() if holds), '')
+
+    @property
+    def is_suspended(self) -> bool:
+        """Whether no lease may be granted to the worker."""
+        return self.may_be_suspended or self.owner.is_suspended(
+            self.worker.life
         )
 
     def adopt(self, starts: Sequence[RunStart], phase: RunPhase) -> None:
@@ -130,7 +150,8 @@
         now_s = self.owner.clock.monotonic_s()
         for start in starts:
             tracked = TrackedRun(start, phase, now_s)
-            age_s = (self.owner.wall_ms() - start.numbered_ms) / 1000
+            # The clocks of two leaders may differ by seconds.
+            age_s = max(0.0, (self.owner.wall_ms() - start.numbered_ms) / 1000)
             tracked.order_expiry_s = now_s + max(0.0, MAX_ORDER_DELAY_S - age_s)
             self.runs[start.task] = tracked
 
@@ -151,6 +172,12 @@
             # reach the successor, so it is not sent and the run is lost with
             # this life.
             return
+        if self.is_suspended:
+            # The order would extend the lease. Without it the run ends with
+            # the suspended leases, or when the worker answers a stop.
+            tracked.phase = RunPhase.UNSURE
+            tracked.order_expiry_s = -inf
+            return
         order = StartOrder(
             task=start.task,
             run=start.run,
@@ -214,7 +241,11 @@
         deadline_ms = None
         # A renewal without an answer may still take effect later, so the lease
         # of an unresponsive worker is not extended until it answers again.
-        if self.clock.is_known and not self.is_unresponsive:
+        if (
+            self.clock.is_known
+            and not self.is_unresponsive
+            and not self.is_suspended
+        ):
             deadline_ms = self.clock.grant_lease(
                 now_s, self.owner.timing.lease_ms
             )
@@ -244,6 +275,7 @@
             await self._end_session(listing)
         else:
             self.is_unresponsive = False
+            self.silent_since_s = inf
             self.is_fenced = False
             self.is_unreachable = False
             self.clock.record_reading(listing.clock_ms, now_s, received_s)
@@ -255,18 +287,24 @@
                 )
                 self.leave_reported_s = inf
             await self._reconcile(listing, now_s)
+            await self._resume_leases()
 
     async def _handle_renewal_failure(
         self, failure: RenewalFailure, now_s: float
     ) -> None:
         self.is_unresponsive = True
         self.is_unreachable = failure is RenewalFailure.REFUSED
+        self.silent_since_s = min(self.silent_since_s, now_s)
+        expired = self.clock.leases_expired(
+            now_s
+        ) or self.owner.are_leases_over(self.worker.life)
+        if not expired:
+            await self._suspend_leases(now_s)
         # A partition may refuse connections too, while the worker runs on.
         lost = [
             tracked
             for tracked in self.runs.values()
-            if self.clock.leases_expired(now_s)
-            and tracked.order_expiry_s <= now_s
+            if expired and tracked.order_expiry_s <= now_s
         ]
         if lost and self.owner.may_order():
             logger.warning(
@@ -282,6 +320,28 @@
             self.is_synchronized = False
         await asyncio.sleep(RETRY_PAUSE_S)
 
+    async def _suspend_leases(self, now_s: float) -> None:
+        """Suspend the leases of a worker that has been silent for a while."""
+        if (
+            self.runs
+            and not self.is_suspended
+            and now_s - self.silent_since_s >= SUSPENSION_DELAY_S
+            and self.owner.may_order()
+        ):
+            self.may_be_suspended = True
+            await self.owner.suspend_leases(
+                self.worker.life, self.clock.leases_left_s(now_s)
+            )
+
+    async def _resume_leases(self) -> None:
+        """Resume the leases of a worker that answers again."""
+        if not self.is_suspended:
+            return
+        if await self.owner.resume_leases(self.worker.life):
+            self.may_be_suspended = False
+        else:
+            await asyncio.sleep(RETRY_PAUSE_S)
+
     def _handle_fence(self) -> None:
         """Handle the answer that the worker knows a later leader.
 
--- a/mangotrail/graphs/session_owner.py
+++ b/mangotrail/graphs/session_owner.py
@@ -9,7 +9,7 @@
 from mangotrail.clock import Clock
 from mangotrail.graphs.late_orders import LateOrders
 from mangotrail.graphs.worker_connection import StartAnswer
-from mangotrail.ids import WorkerId
+from mangotrail.ids import LifeId, WorkerId
 
 if TYPE_CHECKING:
     from mangotrail.graphs.session import Session
@@ -48,6 +48,25 @@
     def is_current(self, task: TaskKey, run: int) -> bool:
         """Whether the committed state counts a run as present on any life."""
 
+    @abstractmethod
+    async def suspend_leases(self, life: LifeId, left_s: float) -> None:
+        """Commit that no lease is granted to a silent worker.
+
+        :param left_s: longest time for which leases granted before may go on.
+        """
+
+    @abstractmethod
+    async def resume_leases(self, life: LifeId) -> bool:
+        """Commit that leases may be granted again; False if that failed."""
+
+    @abstractmethod
+    def is_suspended(self, life: LifeId) -> bool:
+        """Whether no lease may be granted to a worker."""
+
+    @abstractmethod
+    def are_leases_over(self, life: LifeId) -> bool:
+        """Whether the suspended leases of a worker have expired."""
+
     @abstractmethod
     def record_begun(self, task: TaskKey) -> None:
         """Record that a worker has confirmed a run of a task."""
--- a/mangotrail/graphs/state.py
+++ b/mangotrail/graphs/state.py
@@ -24,6 +24,7 @@
     QueueSpec,
     RegisterWorker,
     RemoveWorker,
+    ResumeLease,
     RunEnd,
     RunStart,
     SetConfiguration,
@@ -31,6 +32,7 @@
     StartRuns,
     StateImage,
     SubmitGraph,
+    SuspendLease,
     TaskKey,
     Verdict,
 )
@@ -68,6 +70,8 @@
             RegisterWorker: self.register_worker,
             DrainWorker: self.drain_worker,
             RemoveWorker: self.remove_worker,
+            SuspendLease: self.suspend_lease,
+            ResumeLease: self.resume_lease,
             OpenOccurrence: self.open_occurrence,
             StartRuns: self.start_runs,
             EndRuns: self.end_runs,
@@ -189,6 +193,18 @@
         self.departed[body.life] = now_ms
         return DONE
 
+    def suspend_lease(self, body: SuspendLease, now_ms: int) -> Applied:
+        """Suspend the leases of a silent worker."""
+        if body.life in self.workers:
+            self.workers[body.life].lease_left_ms = body.left_ms
+        return DONE
+
+    def resume_lease(self, body: ResumeLease, now_ms: int) -> Applied:
+        """Allow leases for a worker that answers again."""
+        if body.life in self.workers:
+            self.workers[body.life].lease_left_ms = None
+        return DONE
+
     def open_occurrence(self, body: OpenOccurrence, now_ms: int) -> Applied:
         """Create the steps of an occurrence."""
         job = self.jobs.get(body.job)
@@ -231,6 +247,7 @@
             return False
         return (
             not worker.draining
+            and not worker.is_suspended
             and worker.spec.zone not in self.closed_zones
             and task not in self.runs
             and not (step.done[task.index] and not step.spec.lasting)
@@ -318,7 +335,9 @@
         self.closed_zones = set(image.closed_zones)
         self.workers = {
             entry.worker.life: WorkerState(
-                entry.worker, draining=entry.draining
+                entry.worker,
+                draining=entry.draining,
+                lease_left_ms=entry.lease_left_ms,
             )
             for entry in image.workers
         }
--- a/mangotrail/graphs/worker_clock.py
+++ b/mangotrail/graphs/worker_clock.py
@@ -62,11 +62,19 @@
         self.lease_end_ms = max(self.lease_end_ms, until_ms)
         return until_ms
 
-    def leases_expired(self, now_s: float) -> bool:
-        """Whether every lease granted to the worker has certainly expired."""
+    def leases_left_s(self, now_s: float) -> float:
+        """Return the longest time for which a granted lease may go on.
+
+        :return: seconds; negative once every lease has certainly expired.
+        """
         if self.is_known:
-            return self.min_reading_ms(now_s) > self.lease_end_ms
+            left_ms = self.lease_end_ms - self.min_reading_ms(now_s)
+            return left_ms / (1 - MAX_CLOCK_DRIFT) / 1000
         bound_ms = (self.lease_ms + PREVIOUS_LEASE_MARGIN_MS) / (
             1 - MAX_CLOCK_DRIFT
         )
-        return now_s - self.term_start_s > bound_ms / 1000
+        return bound_ms / 1000 - (now_s - self.term_start_s)
+
+    def leases_expired(self, now_s: float) -> bool:
+        """Whether every lease granted to the worker has certainly expired."""
+        return self.leases_left_s(now_s) < 0
--- a/tests/graph_fakes.py
+++ b/tests/graph_fakes.py
@@ -28,6 +28,7 @@
 from mangotrail.clock import Clock
 from mangotrail.errors import NotLeaderError, UndecidedError
 from mangotrail.graphs.state import GraphState
+from mangotrail.graphs.suspended_leases import SuspendedLeases
 from mangotrail.graphs.worker_connection import (
     ListedEnd,
     ListedRun,
@@ -488,6 +489,7 @@
         self.state = state
         self.clock = clock
         self.random = random
+        self.leases = SuspendedLeases(clock)
         self.current_term = 1
         self.faults = 0.0
         # Whether a majority does not answer at the moment.
@@ -505,6 +507,7 @@
         self.replica = replica
         self.own_term = term
         self.state = replica.state
+        self.leases = replica.leases
 
     def term(self) -> int:
         """Return the term of this leader."""
@@ -531,6 +534,7 @@
         if not self.leads():
             raise NotLeaderError('another leader replaced the command')
         result = self.state.apply(GraphCommand(time_ms=now_ms, body=body))
+        self.leases.observe(body)
         if self.replica.random.random() < self.replica.faults:
             raise UndecidedError('the command was not committed in time')
         return result
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections import defaultdict
+from collections.abc import Sequence
 from math import inf
 from random import Random
 from typing import Any
@@ -329,6 +330,78 @@
         assert len(starts) == 2
 
 
+class TestLostLeaders:
+    """Leaders that are lost while the leases of silent workers run out."""
+
+    def play(
+        self, cluster: Cluster, elections_s: Sequence[float], returns_s: float
+    ) -> list[float]:
+        """Cut off a worker at work, and elect leaders at some times.
+
+        :param returns_s: time after which the worker is reached again.
+        :return: seconds from the cut to each later start of its task.
+        """
+        starts = []
+        for worker in cluster.connector.all:
+            worker.duration_s = 60.0
+
+        async def scenario() -> None:
+            expiry = asyncio.create_task(cluster.connector.expire_leases())
+            watch = asyncio.create_task(cluster.check_invariants())
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            apply(cluster.state, _submit('long', step_spec(1, 8)))
+            cluster.leader.replan()
+            await asyncio.sleep(2.5)
+            busy = next(w for w in cluster.connector.all if w.runs)
+            cut_s = cluster.clock.monotonic_s()
+            cluster.connector.cut.add(busy.spec.address)
+            for after_s in elections_s:
+                cluster.loop.call_later(after_s, cluster.elect)
+            cluster.loop.call_later(
+                returns_s, cluster.connector.cut.discard, busy.spec.address
+            )
+            await asyncio.sleep(45)
+            starts.extend(
+                begun_s - cut_s
+                for worker in cluster.connector.all
+                for _, _, begun_s in worker.started
+                if begun_s > cut_s
+            )
+            expiry.cancel()
+            watch.cancel()
+
+        run_virtual(scenario(), cluster.loop)
+        assert not cluster.violations
+        return starts
+
+    @pytest.mark.parametrize(
+        'elections_s', [(), (3.0,), (0.9, 6.0), (2.0, 5.0, 8.0, 11.0)]
+    )
+    def test_doubt(self, elections_s: Sequence[float]) -> None:
+        """The task waits for one lease, however often the leader changes.
+
+        Each new leader used to wait for a whole lease again, so that jobs stood
+        still beside free workers.
+        """
+        cluster = Cluster(seed=3, faults=0.0)
+        (start_s,) = self.play(cluster, elections_s, returns_s=99)
+        # One lease with its bounds, the delay until it is suspended, and the
+        # time for noticing that it is over.
+        assert 10 <= start_s < 14.5
+
+    @pytest.mark.parametrize('seed', range(30))
+    def test_returning(self, seed: int) -> None:
+        """A worker that was only cut off for a while runs on, alone."""
+        cluster = Cluster(seed=seed, faults=0.0)
+        random = cluster.random
+        elections_s = [random.uniform(0, 20) for _ in range(4)]
+        returns_s = random.uniform(0.5, 13)
+        starts = self.play(cluster, elections_s, returns_s)
+        # A lease that goes on is extended in time.
+        assert not starts or returns_s > 7
+
+
 class TestWaitingJobs:
     """Jobs that no worker has begun."""
 
