Don't wait for racks that lasting tasks have taken

Cause: a task waits for the rack of its data while that rack could hold it empty and over half of the accelerators are in use; lasting tasks there never end.

Change: a rack is worth waiting for, and capacity is reserved, only if the tasks fit beside the lasting ones.

Evidence: two tests of TestPlaces fail before and pass now; a third keeps the wait for tasks that end.

--- a/mangotrail/graphs/capacity.py
+++ b/mangotrail/graphs/capacity.py
@@ -19,6 +19,7 @@
         'cpu_millis',
         'has_recent_failure',
         'is_open',
+        'lasting',
         'memory_mb',
         'worker',
     )
@@ -36,6 +37,8 @@
         self.memory_mb = worker.capacity.memory_mb
         self.accelerators = worker.capacity.accelerators
         self.has_recent_failure = has_recent_failure
+        # Resources of lasting tasks, which never end and are not preempted.
+        self.lasting = Resources()
 
     def allocate(self, step: StepSpec, count: int = 1) -> None:
         """Allocate resources for tasks; a negative count releases them."""
@@ -43,6 +46,14 @@
             self.cpu_millis -= step.need.cpu_millis * count
         self.memory_mb -= step.need.memory_mb * count
         self.accelerators -= step.need.accelerators * count
+        if step.lasting:
+            cpu_millis = 0 if step.fills else step.need.cpu_millis
+            self.lasting = Resources(
+                cpu_millis=self.lasting.cpu_millis + cpu_millis * count,
+                memory_mb=self.lasting.memory_mb + step.need.memory_mb * count,
+                accelerators=self.lasting.accelerators
+                + step.need.accelerators * count,
+            )
 
     def fitting_tasks(self, step: StepSpec) -> int:
         """Return how many tasks of a step fit into the free resources."""
@@ -58,6 +69,24 @@
         ]
         return max(0, min(counts, default=step.count))
 
+    def vacated_tasks(self, step: StepSpec) -> int:
+        """Return how many tasks of a step fit once other runs have ended."""
+        need, whole, kept = step.need, self.worker.capacity, self.lasting
+        counts = [
+            (total - lasting) // wanted
+            for total, lasting, wanted in (
+                (
+                    whole.cpu_millis,
+                    kept.cpu_millis,
+                    0 if step.fills else need.cpu_millis,
+                ),
+                (whole.memory_mb, kept.memory_mb, need.memory_mb),
+                (whole.accelerators, kept.accelerators, need.accelerators),
+            )
+            if wanted
+        ]
+        return max(0, min(counts, default=step.count))
+
     def has_label(self, step: StepSpec) -> bool:
         """Whether the worker has the label that a step requires, if any."""
         return not step.label or step.label in self.worker.labels
@@ -67,28 +96,13 @@
         return (self.accelerators, self.memory_mb, self.cpu_millis)
 
 
-def tasks_per_empty_worker(capacity: Resources, step: StepSpec) -> int:
-    """Return how many tasks of a step fit on an empty worker."""
-    need = step.need
-    counts = [
-        total // wanted
-        for total, wanted in (
-            (capacity.cpu_millis, 0 if step.fills else need.cpu_millis),
-            (capacity.memory_mb, need.memory_mb),
-            (capacity.accelerators, need.accelerators),
-        )
-        if wanted
-    ]
-    return min(counts, default=step.count)
-
-
 def emptiest_workers(
     step: StepSpec, capacities: Iterable[WorkerCapacity], wanted: int
 ) -> Sequence[WorkerCapacity]:
     """Return the workers that will probably have room for a step soonest.
 
     :return: a worker for each task, the emptiest workers first; empty if the
-        tasks would not fit even on empty workers.
+        tasks would not fit even once all runs that can end have ended.
     """
     ranked = sorted(
         capacities,
@@ -100,7 +114,7 @@
     )
     chosen: list[WorkerCapacity] = []
     for capacity in ranked:
-        count = tasks_per_empty_worker(capacity.worker.capacity, step)
+        count = capacity.vacated_tasks(step)
         if step.per_worker_limit:
             count = min(count, step.per_worker_limit)
         chosen.extend([capacity] * min(count, wanted - len(chosen)))
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -17,7 +17,6 @@
     TaskPacker,
     WorkerCapacity,
     emptiest_workers,
-    tasks_per_empty_worker,
 )
 from mangotrail.graphs.preemption import RunInfo, Victim, VictimSelector
 from mangotrail.graphs.records import JobState
@@ -362,7 +361,7 @@
             )
         else:
             return [capacities]
-        possible = any(self.fits_when_empty(spec, rack) for rack in near)
+        possible = any(self.fits_when_vacated(spec, rack) for rack in near)
         if not possible or self.should_leave_rack(unit, capacities):
             return [*near, capacities]
         return near
@@ -387,13 +386,16 @@
             or unit.waited_ms >= elsewhere_ms - here_ms
         )
 
-    def fits_when_empty(
+    def fits_when_vacated(
         self, spec: StepSpec, capacities: Iterable[WorkerCapacity]
     ) -> bool:
-        """Whether empty workers could hold a whole gang, or a single task."""
+        """Whether a whole gang, or a single task, fits once runs have ended.
+
+        Lasting tasks do not end, so that it would wait for them in vain.
+        """
         total = 0
         for capacity in capacities:
-            count = tasks_per_empty_worker(capacity.worker.capacity, spec)
+            count = capacity.vacated_tasks(spec)
             limit = spec.per_worker_limit
             total += min(count, limit) if limit else count
         return total >= (spec.count if spec.gang else 1)
--- a/tests/test_graph_planning.py
+++ b/tests/test_graph_planning.py
@@ -193,6 +193,45 @@
         harness.now_ms += 2_500
         assert harness.racks(harness.plan().starts) == {'rack-0'}
 
+    def test_rack_of_lasting_tasks(self) -> None:
+        """A task does not wait for a rack that lasting tasks have taken.
+
+        It used to wait for good while over half of the workers were in use.
+        """
+        harness = PlannerHarness()
+        lasting = step_spec(4, 8, lasting=True, label='rack-1')
+        harness.submit('forever', lasting)
+        harness.plan()
+        harness.submit('near', step_spec(1, 1, data_rack='rack-1'))
+        harness.submit(
+            'lasting', step_spec(1, 1, lasting=True, data_rack='rack-1')
+        )
+        harness.submit(
+            'gang',
+            step_spec(2, 2, gang=True, same_rack=True, data_rack='rack-1'),
+        )
+        plan = harness.plan()
+        assert len(plan.starts) == 4
+        assert harness.racks(plan.starts) == {'rack-0'}
+
+    def test_rack_of_ending_tasks(self) -> None:
+        """A task waits for a rack whose tasks will end."""
+        harness = PlannerHarness()
+        harness.submit('first', step_spec(4, 8, label='rack-1'))
+        harness.submit('forever', step_spec(2, 8, lasting=True, label='rack-0'))
+        harness.plan()
+        harness.submit('near', step_spec(1, 1, data_rack='rack-1'))
+        assert not harness.plan().starts
+
+    def test_no_reservation_in_vain(self) -> None:
+        """A gang that lasting tasks keep from starting reserves nothing."""
+        harness = PlannerHarness()
+        harness.submit('forever', step_spec(4, 8, lasting=True, label='rack-1'))
+        harness.plan()
+        harness.submit('gang', step_spec(5, 8, gang=True))
+        harness.submit('small', step_spec(4, 8))
+        assert len(harness.plan().starts) == 4
+
     def test_draining(self) -> None:
         """Nothing starts on a draining worker."""
         harness = PlannerHarness()
