Let lasting tasks give borrowed accelerators back

Cause: lasting tasks were never stopped for other work.

Change: a job inside its guarantee may have them stopped, unless their step limits how many of its tasks may be away. Weighed: stopping those one at a time as well; not built.

Ruled out: jobs beyond their guarantee, and other queues, stop none, as before.

--- a/mangotrail/graphs/capacity.py
+++ b/mangotrail/graphs/capacity.py
@@ -37,7 +37,7 @@
         self.memory_mb = worker.capacity.memory_mb
         self.accelerators = worker.capacity.accelerators
         self.has_recent_failure = has_recent_failure
-        # Resources of lasting tasks, which never end and are not preempted.
+        # Resources of lasting tasks, which never end by themselves.
         self.lasting = Resources()
 
     def allocate(self, step: StepSpec, count: int = 1) -> None:
--- a/mangotrail/graphs/planning.py
+++ b/mangotrail/graphs/planning.py
@@ -512,8 +512,11 @@
         self, unit: SchedulingUnit, job: JobState, spec: StepSpec
     ) -> bool:
         """Whether runs of a step may be preempted for a unit."""
-        if spec.lasting or job.graph.job in self.entitled:
+        if job.graph.job in self.entitled:
             return False
+        if spec.lasting:
+            # Whoever set a limit for it relies on its tasks staying up.
+            return unit.entitled and not spec.max_unavailable
         if job.queue.priority > unit.job.queue.priority:
             return True
         return unit.entitled and job.queue.priority == URGENT_PRIORITY
--- a/tests/test_graph_planning.py
+++ b/tests/test_graph_planning.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import msgspec
+import pytest
 
 from mangotrail._graphs import (
     DrainWorker,
@@ -316,6 +317,22 @@
         assert len(harness.starts(plan, 'urgent')) == 4
         assert not harness.starts(plan, 'thief')
 
+    @pytest.mark.parametrize(('limit', 'stops'), [(0, 4), (1, 0)])
+    def test_lasting_borrower(self, *, limit: int, stops: int) -> None:
+        """Lasting tasks give borrowed capacity back, unless they are limited.
+
+        A guaranteed job used to wait for good while they held everything.
+        """
+        harness = PlannerHarness()
+        harness.submit(
+            'borrower', step_spec(8, 8, lasting=True, max_unavailable=limit)
+        )
+        harness.plan()
+        harness.submit('other', step_spec(1, 8, gang=True))
+        assert not harness.plan().stops
+        harness.submit('urgent', step_spec(4, 8, gang=True), urgent=True)
+        assert len(harness.plan().stops) == stops
+
     def test_order_of_acceptance(self) -> None:
         """The guarantee covers the jobs that were accepted first."""
         harness = PlannerHarness(guaranteed=16)
