--- a/mangotrail/_file_journal.py
+++ b/mangotrail/_file_journal.py
@@ -63,11 +63,19 @@
         fcntl.flock(self.lock_file, fcntl.LOCK_EX | fcntl.LOCK_NB)
 
     def load(self) -> Recovered:
-        """Return the durable content and truncate a torn tail."""
+        """Return the durable content and truncate a torn tail.
+
+        :raises StorageError: if the journal is damaged or cannot be used; it
+            is closed, so that the folder can be opened again.
+        """
         try:
             return self.recover()
         except OSError as error:
+            self.close()
             raise self.mark_failed(error) from error
+        except StorageError:
+            self.close()
+            raise
 
     def append(
         self,
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,5 +1,6 @@
 """Tests of the journal: no acknowledged record is lost by a restart."""
 
+import errno
 import os
 from collections.abc import Callable, Iterable
 from pathlib import Path
@@ -213,6 +214,31 @@
 class TestFileJournal:
     """Records in files."""
 
+    @pytest.mark.parametrize(
+        'error',
+        [OSError(errno.ENOSPC, 'the disk is full'), StorageError('damaged')],
+    )
+    def test_opened_again(
+        self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, error: Exception
+    ) -> None:
+        """A journal that could not be loaded lets the next one use its folder.
+
+        It kept the lock of the folder, so that a control process whose disk had
+        been full never served again.
+        """
+
+        def fail(journal: FileJournal) -> Recovered:
+            raise error
+
+        with monkeypatch.context() as patch:
+            patch.setattr(FileJournal, 'recover', fail)
+            failed = FileJournal(tmp_path)
+            with pytest.raises(StorageError):
+                failed.load()
+        again = FileJournal(tmp_path)
+        assert again.load() == Recovered()
+        again.close()
+
     @pytest.mark.parametrize('seed', range(40))
     def test_torn_writes(
         self, tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
