--- a/mangotrail/graphs/capacity.py
+++ b/mangotrail/graphs/capacity.py
@@ -5,7 +5,6 @@
 from mangotrail._graphs import Resources, StepSpec, WorkerSpec
 from mangotrail.ids import LifeId
 
-
 NOTHING = Resources()
 
 
--- a/tests/test_graph_compression.py
+++ b/tests/test_graph_compression.py
@@ -27,7 +27,7 @@
         [
             compress(LARGE)[:-9],
             compress(LARGE)[:9],
-            b'x' + LARGE,
+            b'x%b' % LARGE,
             zlib.compress(bytes(MAX_BYTES + 1)),
         ],
     )
