Keep undecided suspensions with the leader, not with a session

Cause, found by reading the diff: a session that fails by a fault of its own is replaced in the same term, and the next one did not know that a suspension of the leases had been proposed. If it was committed late, the next leader could take a lease for over that the session had granted meanwhile.

Change: the leader keeps the lives whose suspension was proposed until a resumption is known to be committed. Ruled out: other commands; they are repeated from listings.

Evidence: test_undecided; with the state of a session as before, the session of the test is usable although the resumption is not known to be committed.

--- a/mangotrail/graphs/leader.py
+++ b/mangotrail/graphs/leader.py
@@ -103,6 +103,9 @@
         self.wall = wall
         self.term = replica.term()
         self.late_orders = LateOrders(clock)
+        # Lives whose suspension was proposed, and may be committed later even
+        # if that is not known, also after a new session with the life.
+        self.suspending: set[LifeId] = set()
         self.begun_jobs = BegunJobs(state=self.state, commit=self._commit_begun)
         self.sessions: dict[LifeId, Session] = {}
         self.session_tasks: dict[LifeId, asyncio.Task[None]] = {}
@@ -166,17 +169,23 @@
 
     async def suspend_leases(self, life: LifeId, left_s: float) -> None:
         """Commit that no lease is granted to a silent worker."""
+        self.suspending.add(life)
         left_ms = max(0, ceil(left_s * 1000))
         await self.commit(SuspendLease(life=life, left_ms=left_ms))
 
     async def resume_leases(self, life: LifeId) -> bool:
         """Commit that leases may be granted again; False if that failed."""
-        return await self.commit(ResumeLease(life=life)) is not None
+        if await self.commit(ResumeLease(life=life)) is None:
+            return False
+        self.suspending.discard(life)
+        return True
 
     def is_suspended(self, life: LifeId) -> bool:
         """Whether no lease may be granted to a worker."""
         worker = self.state.workers.get(life)
-        return worker is not None and worker.is_suspended
+        return life in self.suspending or (
+            worker is not None and worker.is_suspended
+        )
 
     def are_leases_over(self, life: LifeId) -> bool:
         """Whether the suspended leases of a worker have expired."""
--- a/mangotrail/graphs/session.py
+++ b/mangotrail/graphs/session.py
@@ -95,9 +95,6 @@
         self.is_fenced = False
         # When the first renewal without an answer since the last answer failed.
         self.silent_since_s = inf
-        # Whether it has been proposed to suspend the leases, which may be
-        # committed later.
-        self.may_be_suspended = False
         # Whether the worker listed runs that are not in the replicated state.
         # They take up room until they have been stopped.
         self.has_unexpected_runs = False
@@ -139,9 +136,7 @@
     @property
     def is_suspended(self) -> bool:
         """Whether no lease may be granted to the worker."""
-        return self.may_be_suspended or self.owner.is_suspended(
-            self.worker.life
-        )
+        return self.owner.is_suspended(self.worker.life)
 
     def adopt(self, starts: Sequence[RunStart], phase: RunPhase) -> None:
         """Take over runs that were committed before this session.
@@ -331,18 +326,15 @@
             and now_s - self.silent_since_s >= SUSPENSION_DELAY_S
             and self.owner.may_order()
         ):
-            self.may_be_suspended = True
             await self.owner.suspend_leases(
                 self.worker.life, self.clock.leases_left_s(now_s)
             )
 
     async def _resume_leases(self) -> None:
         """Resume the leases of a worker that answers again."""
-        if not self.is_suspended:
-            return
-        if await self.owner.resume_leases(self.worker.life):
-            self.may_be_suspended = False
-        else:
+        if self.is_suspended and not await self.owner.resume_leases(
+            self.worker.life
+        ):
             await asyncio.sleep(RETRY_PAUSE_S)
 
     def _handle_fence(self) -> None:
--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -402,6 +402,39 @@
         assert not starts or returns_s > 7
 
 
+class TestSuspension:
+    """Leases whose suspension may still be committed."""
+
+    def test_undecided(self) -> None:
+        """A leader that can't know grants no lease before it has resumed them.
+
+        Otherwise the next leader would take a lease for over that goes on.
+        """
+        cluster = Cluster(seed=3, faults=0.0)
+        life = worker_spec(0).life
+
+        async def scenario() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.2)
+            leader = cluster.leader
+            cluster.replica.faults = 1.0
+            await leader.suspend_leases(life, 5.0)
+            assert cluster.state.workers[life].is_suspended
+            assert not await leader.resume_leases(life)
+            # The resumption has been applied, but the leader can't know that.
+            assert not cluster.state.workers[life].is_suspended
+            assert leader.is_suspended(life)
+            assert not leader.sessions[life].is_usable(
+                cluster.clock.monotonic_s()
+            )
+            cluster.replica.faults = 0.0
+            await asyncio.sleep(2.5)
+            assert not leader.is_suspended(life)
+            assert leader.sessions[life].is_usable(cluster.clock.monotonic_s())
+
+        run_virtual(scenario(), cluster.loop)
+
+
 class TestWaitingJobs:
     """Jobs that no worker has begun."""
 
