--- a/mangotrail/graphs/capacity.py
+++ b/mangotrail/graphs/capacity.py
@@ -59,35 +59,22 @@
 
     def fitting_tasks(self, step: StepSpec) -> int:
         """Return how many tasks of a step fit into the free resources."""
-        need = step.need
-        counts = [
-            free // wanted
-            for free, wanted in (
-                (self.cpu_millis, 0 if step.fills else need.cpu_millis),
-                (self.memory_mb, need.memory_mb),
-                (self.accelerators, need.accelerators),
-            )
-            if wanted
-        ]
-        return max(0, min(counts, default=step.count))
+        return count_fitting(
+            step,
+            cpu_millis=self.cpu_millis,
+            memory_mb=self.memory_mb,
+            accelerators=self.accelerators,
+        )
 
     def vacated_tasks(self, step: StepSpec) -> int:
         """Return how many tasks of a step fit once other runs have ended."""
-        need, whole, kept = step.need, self.worker.capacity, self.lasting
-        counts = [
-            (total - lasting) // wanted
-            for total, lasting, wanted in (
-                (
-                    whole.cpu_millis,
-                    kept.cpu_millis,
-                    0 if step.fills else need.cpu_millis,
-                ),
-                (whole.memory_mb, kept.memory_mb, need.memory_mb),
-                (whole.accelerators, kept.accelerators, need.accelerators),
-            )
-            if wanted
-        ]
-        return max(0, min(counts, default=step.count))
+        whole, kept = self.worker.capacity, self.lasting
+        return count_fitting(
+            step,
+            cpu_millis=whole.cpu_millis - kept.cpu_millis,
+            memory_mb=whole.memory_mb - kept.memory_mb,
+            accelerators=whole.accelerators - kept.accelerators,
+        )
 
     def has_label(self, step: StepSpec) -> bool:
         """Whether the worker has the label that a step requires, if any."""
@@ -98,6 +85,23 @@
         return (self.accelerators, self.memory_mb, self.cpu_millis)
 
 
+def count_fitting(
+    step: StepSpec, *, cpu_millis: int, memory_mb: int, accelerators: int
+) -> int:
+    """Return how many tasks of a step fit into some resources."""
+    need = step.need
+    counts = [
+        free // wanted
+        for free, wanted in (
+            (cpu_millis, 0 if step.fills else need.cpu_millis),
+            (memory_mb, need.memory_mb),
+            (accelerators, need.accelerators),
+        )
+        if wanted
+    ]
+    return max(0, min(counts, default=step.count))
+
+
 def emptiest_workers(
     step: StepSpec, capacities: Iterable[WorkerCapacity], wanted: int
 ) -> Sequence[WorkerCapacity]:
