--- a/mangotrail/graphs/capacity.py
+++ b/mangotrail/graphs/capacity.py
@@ -5,7 +5,7 @@
 from mangotrail._graphs import Resources, StepSpec, WorkerSpec
 from mangotrail.ids import LifeId
 
-NOTHING = Resources()
+NO_RESOURCES = Resources()
 
 
 class WorkerCapacity:
@@ -40,7 +40,7 @@
         self.accelerators = worker.capacity.accelerators
         self.has_recent_failure = has_recent_failure
         # Resources of lasting tasks, which never end by themselves.
-        self.lasting = NOTHING
+        self.lasting = NO_RESOURCES
 
     def allocate(self, step: StepSpec, count: int = 1) -> None:
         """Allocate resources for tasks; a negative count releases them."""
