Show that slow disks keep a group from electing a leader

Cause: a candidate waits for votes, which are synced on two disks, as long as for pre-votes, 0.15 to 0.375 s, then starts over and drops them.

--- a/tests/test_log_replica.py
+++ b/tests/test_log_replica.py
@@ -31,6 +31,8 @@
 STORAGE_RETRY_S = 0.5
 # The users' bound for the acknowledgement of a change.
 MAX_CHANGE_S = 4.0
+# The users' bound for serving again once machines are back.
+RECOVERY_S = 12.0
 LAST = b'last'
 
 
@@ -329,6 +331,39 @@
     return group
 
 
+class TestSlowDisks:
+    """Disks that take long for each sync."""
+
+    @pytest.mark.parametrize('alive', [3, 5])
+    @pytest.mark.parametrize('sync_s', [0.006, 0.18])
+    def test_elected(self, sync_s: float, alive: int) -> None:
+        """A leader is elected though all disks are 30 times slower.
+
+        The votes of an election took longer than its candidate waits before it
+        begins another one, so that a group on busy machines had no leader for
+        26 s (fault soak, seed 418).
+        """
+        group = Group(seed=1, members=5, min_copies=3)
+        group.loss_rate = 0.0
+
+        async def sync(work: Callable[..., Any], *args: Any) -> Any:
+            await asyncio.sleep(sync_s)
+            return work(*args)
+
+        async def scenario() -> None:
+            for name in group.names[:alive]:
+                group.start(name)
+            for _ in range(round(RECOVERY_S / 0.05)):
+                await asyncio.sleep(0.05)
+                if group.leaders():
+                    return
+            raise AssertionError('no leader is elected')
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(asyncio, 'to_thread', sync)
+            run_virtual(scenario(), group.loop)
+
+
 class TestFullDisks:
     """Disks that are full for some seconds, one after another."""
 
