Show that the last ends of a leaving worker can be lost

Cause, by reading: a notice that a worker leaves is acknowledged while its session still commits earlier ends; the worker ends without having listed the last ones, and its runs are taken for lost.

--- a/tests/test_graph_life_cycle.py
+++ b/tests/test_graph_life_cycle.py
@@ -435,6 +435,45 @@
         run_virtual(scenario(), cluster.loop)
 
 
+class TestLastEnds:
+    """Ends on a worker that leaves once its tasks are done."""
+
+    @pytest.mark.parametrize('commit_s', [0.02, 0.2])
+    def test_done_once(
+        self, monkeypatch: pytest.MonkeyPatch, commit_s: float
+    ) -> None:
+        """A task whose end precedes the notice does not start again.
+
+        While its session commits other ends, the worker can't list the last
+        ones; acknowledging the notice lets it end without having done so.
+        """
+        monkeypatch.setattr('tests.graph_fakes.COMMIT_S', commit_s)
+        cluster = Cluster(seed=3, faults=0.0)
+
+        async def scenario() -> None:
+            cluster.elect()
+            await asyncio.sleep(0.5)
+            spec = step_spec(2, 4)
+            apply(cluster.state, _submit('pair', spec))
+            cluster.leader.replan()
+            await asyncio.sleep(0.5)
+            busy = next(w for w in cluster.connector.all if w.runs)
+            notice = Heartbeat(worker=busy.spec, draining=True, sequence=9)
+            await cluster.leader.on_heartbeat(notice)
+            first, last = busy.runs
+            busy.end(first, 1, EndKind.DONE)
+            await asyncio.sleep(0.02)
+            busy.end(last, 1, EndKind.DONE)
+            # The notice takes this long to reach the leader of the term.
+            await asyncio.sleep(0.06)
+            assert await cluster.leader.on_leave(busy.spec.worker)
+            busy.crash()
+            await asyncio.sleep(5)
+
+        run_virtual(scenario(), cluster.loop)
+        assert sum(len(w.started) for w in cluster.connector.all) == 2
+
+
 class TestWaitingJobs:
     """Jobs that no worker has begun."""
 
